--- a/cmake/BurdockTargets.cmake
+++ b/cmake/BurdockTargets.cmake
@@ -16,6 +16,9 @@
 # Defines the test program test_NAME. RapidCheck's seed is fixed so that every run gives the
 # same verdict.
 function(burdock_test Name)
+  if(BURDOCKSTREAM_FLOWD_ONLY)
+    return()
+  endif()
   cmake_parse_arguments(Arg "" "" "SOURCES;DEPENDS;LABELS" ${ARGN})
   add_executable(test_${Name} ${Arg_SOURCES})
   target_link_libraries(test_${Name} PRIVATE ${Arg_DEPENDS} GTest::gtest_main GTest::gmock
--- /dev/null
+++ b/packages/flowd/src/BalancerShell.cpp
@@ -0,0 +1,333 @@
+#include "BalancerShell.h"
+
+#include "LoopTimer.h"
+#include "burdockstream/base/JsonText.h"
+#include "burdockstream/flowd/AgentEntries.h"
+
+#include <random>
+#include <utility>
+
+namespace burdockstream::flowd {
+
+namespace {
+
+// The core's timers: searches and statuses have a resolution of this.
+constexpr base::Duration TickInterval = std::chrono::milliseconds(50);
+
+// The fabric checks readiness twice a second and takes a balancer out after two
+// misses; packets keep arriving until then.
+constexpr base::Duration LingerTime = std::chrono::milliseconds(2200);
+
+// Once the store has not answered for this long after the start, peers are
+// asked for what they know.
+constexpr base::Duration PeerDelay = std::chrono::milliseconds(800);
+constexpr base::Duration PeerRound = std::chrono::milliseconds(1000);
+constexpr base::Duration PeerTimeout = std::chrono::milliseconds(800);
+
+constexpr const char *StatePath = "/v1/state";
+constexpr const char *MetricsPath = "/metrics";
+
+base::RandomSource newRandomSource() {
+  std::random_device Entropy;
+  return base::RandomSource(uint64_t{Entropy()} << 32 | Entropy());
+}
+
+} // namespace
+
+BalancerShell::BalancerShell(FlowSettings InitSettings,
+                             FlowEnvironment InitEnvironment, EventLog &InitLog,
+                             std::function<void()> InitOnFinished)
+    : Settings(std::move(InitSettings)),
+      Environment(std::move(InitEnvironment)), Log(InitLog),
+      OnFinished(std::move(InitOnFinished)), Decisions(Log, Registry),
+      Core({Settings.FailureDomain, Settings.Control}, coreHooks(),
+           newRandomSource()),
+      Store(Environment.OpenStore(Settings.Store)),
+      Server([this](const http::ServerRequest &Request,
+                    const std::shared_ptr<http::Responder> &Out) {
+        onRequest(Request, *Out);
+      }) {}
+
+BalancerShell::~BalancerShell() {
+  if (Timer != 0)
+    g_source_remove(Timer);
+}
+
+flows::BalancerHooks BalancerShell::coreHooks() {
+  flows::BalancerHooks Hooks;
+  Hooks.SendFrame = [this](base::SocketAddress Agent,
+                           const flows::FrameHeader &Header,
+                           std::span<const uint8_t> Body) {
+    sendFrame(*Frames, Agent, Header, Body);
+  };
+  Hooks.SendReset = [this](const flows::FlowKey &Flow, uint32_t Sequence) {
+    Ingress->send(Environment.Codec.MakeReset(Flow, Sequence),
+                  {Flow.Client.Ip, Settings.Data.Port});
+  };
+  Hooks.OnDecision = [this](const flows::FlowDecision &Decision) {
+    Decisions.note(Decision, readClocks());
+  };
+  Hooks.OnNewerRoutes = [this](base::Revision Revision,
+                               base::SocketAddress Control) {
+    if (AskedRevision && *AskedRevision >= Revision)
+      return;
+    AskedRevision = Revision;
+    askPeer(Control);
+  };
+  return Hooks;
+}
+
+WatchHooks BalancerShell::routesHooks() {
+  WatchHooks Hooks;
+  Hooks.OnSnapshot = [this](const store::RangeReply &Reply) {
+    for (const store::KeyValue &Each : Reply.Values)
+      if (Each.Key == Environment.RoutesKey)
+        takeRoutes(Each.Value, Each.ModRevision, "store");
+  };
+  Hooks.OnEvent = [this](const store::WatchEvent &Event) {
+    if (!Event.Deleted && Event.Entry.Key == Environment.RoutesKey)
+      takeRoutes(Event.Entry.Value, Event.Entry.ModRevision, "store");
+  };
+  Hooks.OnLost = [this](const base::Error &Reason) {
+    logStore("store_lost", "routes", &Reason);
+  };
+  Hooks.OnRegained = [this] { logStore("store_regained", "routes", nullptr); };
+  return Hooks;
+}
+
+WatchHooks BalancerShell::agentsHooks() {
+  WatchHooks Hooks;
+  Hooks.OnSnapshot = [this](const store::RangeReply &Reply) {
+    std::vector<flows::AgentEntry> Entries;
+    for (const store::KeyValue &Each : Reply.Values) {
+      auto Entry = readEntry(Each.Key, Each.Value);
+      if (Entry.has_value())
+        Entries.push_back(std::move(Entry.value()));
+      else
+        logStore("entry_refused", "agents", &Entry.error());
+    }
+    Core.setAgents(Entries, readClocks().Monotonic);
+  };
+  Hooks.OnEvent = [this](const store::WatchEvent &Event) { takeAgent(Event); };
+  Hooks.OnLost = [this](const base::Error &Reason) {
+    logStore("store_lost", "agents", &Reason);
+  };
+  Hooks.OnRegained = [this] { logStore("store_regained", "agents", nullptr); };
+  return Hooks;
+}
+
+void BalancerShell::takeAgent(const store::WatchEvent &Event) {
+  const base::TimePoint Now = readClocks().Monotonic;
+  if (Event.Deleted) {
+    if (const auto Agent = agentOfKey(Event.Entry.Key))
+      Core.unlistAgent(*Agent, Now);
+    return;
+  }
+  const auto Entry = readEntry(Event.Entry.Key, Event.Entry.Value);
+  if (Entry.has_value())
+    Core.listAgent(Entry.value(), Now);
+  else
+    logStore("entry_refused", "agents", &Entry.error());
+}
+
+void BalancerShell::takeRoutes(const std::string &Text, base::Revision Revision,
+                               const std::string &Source) {
+  const base::Now Now = readClocks();
+  const auto *Known = Core.routes();
+  if (Known && Revision <= Known->Revision)
+    return;
+  Json::Value Fields;
+  Fields["revision"] = Json::Int64(Revision);
+  Fields["source"] = Source;
+  auto Table = Environment.ReadRoutes(Text);
+  if (Table.has_error()) {
+    Fields["problem"] = Table.error().Message;
+    return Log.write(LogPriority::Process, "routes_refused", Fields, Now);
+  }
+  Table.value().Revision = Revision;
+  Fields["version"] = Json::UInt64(Table.value().Version);
+  Fields["routes"] = Json::UInt64(Table.value().Routes.size());
+  Core.setRoutes(std::make_shared<flows::RouteTable>(std::move(Table.value())),
+                 Now.Monotonic);
+  RoutesText = Text;
+  Log.write(LogPriority::Process, "routes_applied", Fields, Now);
+  tick(); // agents learn the revision at once
+}
+
+void BalancerShell::logStore(const char *Event, const char *What,
+                             const base::Error *Reason) {
+  Json::Value Fields;
+  Fields["watch"] = What;
+  if (Reason)
+    Fields["reason"] = Reason->Message;
+  Log.write(LogPriority::Process, Event, Fields, readClocks());
+  Core.setStoreFresh(Routes && Routes->inStep() && Agents && Agents->inStep());
+}
+
+base::Result<void> BalancerShell::openSockets() {
+  auto Data = network::UdpSocket::open(Settings.Data, frameSocketOptions());
+  if (Data.has_error())
+    return Data.error();
+  Ingress = std::move(Data.value());
+  auto Peers = network::UdpSocket::open(Settings.Control, frameSocketOptions());
+  if (Peers.has_error())
+    return Peers.error();
+  Frames = std::move(Peers.value());
+  for (const auto &Address :
+       {Settings.Ready, std::optional(Settings.Control), Settings.Seed}) {
+    if (!Address)
+      continue;
+    const auto Listening = Server.listen(*Address);
+    if (Listening.has_error())
+      return Listening.error();
+  }
+  return boost::outcome_v2::success();
+}
+
+base::Result<void> BalancerShell::start() {
+  const auto Opened = openSockets();
+  if (Opened.has_error())
+    return Opened.error();
+  Ingress->attach(
+      nullptr, [this](std::span<uint8_t> Datagram, base::SocketAddress) {
+        const auto Packet =
+            Environment.Codec.Decode(Datagram, flows::Sender::Client);
+        if (Packet)
+          Core.onClientPacket(*Packet, readClocks().Monotonic);
+        else
+          Registry.counter("malformed_packets").add();
+      });
+  Frames->attach(nullptr,
+                 [this](std::span<uint8_t> Datagram, base::SocketAddress From) {
+                   onFrame(Datagram, From);
+                 });
+  StartedAt = readClocks().Monotonic;
+  Routes = std::make_unique<WatchedPrefix>(*Store, Environment.RoutesKey,
+                                           routesHooks());
+  Agents = std::make_unique<WatchedPrefix>(*Store, std::string(AgentPrefix),
+                                           agentsHooks());
+  Routes->start();
+  Agents->start();
+  Timer = callEvery(TickInterval, [this] { tick(); });
+  return boost::outcome_v2::success();
+}
+
+void BalancerShell::onFrame(std::span<uint8_t> Datagram,
+                            base::SocketAddress From) {
+  const auto Frame = flows::readFrame(Datagram);
+  const base::TimePoint Now = readClocks().Monotonic;
+  if (Frame && Frame->Header.Kind == flows::FrameKind::Status) {
+    if (const auto Status = flows::unpackStatus(Frame->Body))
+      return Core.onStatus(From, *Status, Now);
+  } else if (Frame) {
+    if (const auto Packet = Environment.Codec.DecodeHeader(Frame->Body))
+      return Core.onAgentAnswer(From, Frame->Header, *Packet, Now);
+  }
+  Registry.counter("malformed_frames").add();
+}
+
+bool BalancerShell::isReady() const {
+  return !Stopping && Core.canServe(readClocks().Monotonic);
+}
+
+void BalancerShell::onRequest(const http::ServerRequest &Request,
+                              http::Responder &Out) {
+  if (Request.Method != "GET")
+    return Out.send({405, "text/plain", "only GET is served here\n"});
+  if (Request.Path == MetricsPath)
+    return Out.send(
+        {200, "text/plain", base::toPrometheus(Registry.snapshot())});
+  if (Request.Path == StatePath)
+    return Out.send({200, "application/json", stateForPeers()});
+  if (Request.Path == Environment.ReadyPath)
+    return Out.send({isReady() ? 200U : 503U, "application/json", "{}"});
+  Out.send({404, "text/plain", "no such path\n"});
+}
+
+std::string BalancerShell::stateForPeers() const {
+  Json::Value State;
+  State["revision"] = Json::Int64(Core.routes() ? Core.routes()->Revision : 0);
+  State["routes"] = RoutesText;
+  State["agents"] = Json::arrayValue;
+  for (const auto &Each : Core.targets().all())
+    if (Each && Each->Heard) {
+      Json::Value Entry;
+      Entry["key"] = entryKey(Each->Agent);
+      Entry["value"] =
+          entryValue({Each->Agent, Each->Status.Service, Each->FailureDomain});
+      State["agents"].append(Entry);
+    }
+  return base::compactJson(State);
+}
+
+void BalancerShell::askPeers() {
+  for (const base::SocketAddress Peer : Settings.Peers)
+    if (Peer != Settings.Control && Peer != Settings.Seed)
+      askPeer(Peer);
+}
+
+void BalancerShell::askPeer(base::SocketAddress Peer) {
+  const http::HttpRequest Request{
+      "http://" + base::toString(Peer) + StatePath, "", {}, PeerTimeout, "GET"};
+  Client.send(Request, [this, Peer](base::Result<http::HttpResponse> Answer) {
+    if (Answer.has_value() && Answer.value().Status == 200)
+      return takePeerState(Peer, Answer.value().Body);
+    AskedRevision.reset(); // ask again when the next status says so
+    Json::Value Fields;
+    Fields["peer"] = base::toString(Peer);
+    Fields["reason"] = Answer.has_error()
+                           ? Answer.error().Message
+                           : std::to_string(Answer.value().Status);
+    Log.write(LogPriority::Process, "peer_failed", Fields, readClocks());
+  });
+}
+
+void BalancerShell::takePeerState(base::SocketAddress Peer,
+                                  const std::string &Body) {
+  const auto Document = base::JsonDocument::parse(Body, base::toString(Peer));
+  if (Document.has_error() || !Document.value().root().isObject())
+    return;
+  const Json::Value &Root = Document.value().root();
+  if (Root["revision"].isInt64() && Root["routes"].isString() &&
+      Root["revision"].asInt64() > 0)
+    takeRoutes(Root["routes"].asString(), Root["revision"].asInt64(),
+               base::toString(Peer));
+  // Agents that are found this way stay in use if they answer.
+  for (const Json::Value &Each : Root["agents"])
+    if (Each["key"].isString() && Each["value"].isString()) {
+      const auto Entry =
+          readEntry(Each["key"].asString(), Each["value"].asString());
+      if (Entry.has_value())
+        Core.suggestAgent(Entry.value(), readClocks().Monotonic);
+    }
+}
+
+void BalancerShell::tick() {
+  const base::Now Now = readClocks();
+  Core.tick(Now.Monotonic);
+  Log.reportDropsAtIntervals(Now);
+  const bool Unaided = !Core.routes() || Core.targets().size() == 0;
+  if (Unaided && Now.Monotonic - StartedAt > PeerDelay &&
+      Now.Monotonic >= NextPeerRound) {
+    NextPeerRound = Now.Monotonic + PeerRound;
+    askPeers();
+  }
+  if (isReady() != WasReady) {
+    WasReady = !WasReady;
+    Json::Value Fields;
+    Fields["ready"] = WasReady;
+    Fields["agents"] = Json::UInt64(Core.targets().size());
+    Log.write(LogPriority::Process, "readiness", Fields, Now);
+  }
+}
+
+void BalancerShell::applySettings(const FlowSettings &New) {
+  Settings.Peers = New.Peers; // all that may change while a balancer runs
+}
+
+void BalancerShell::beginShutdown() {
+  Stopping = true;
+  callLater(std::min(LingerTime, Settings.GracePeriod), OnFinished);
+}
+
+} // namespace burdockstream::flowd
--- /dev/null
+++ b/packages/flowd/src/FrameSocket.h
@@ -0,0 +1,48 @@
+// A UDP socket that carries frames between daemons.
+#ifndef BURDOCKSTREAM_FLOWD_FRAMESOCKET_H
+#define BURDOCKSTREAM_FLOWD_FRAMESOCKET_H
+
+#include "burdockstream/flows/Frame.h"
+#include "burdockstream/network/UdpSocket.h"
+
+#include <functional>
+#include <memory>
+#include <span>
+
+namespace burdockstream::flowd {
+
+// A packet of the largest size with a frame header, and some room.
+inline constexpr size_t FrameDatagramBytes = 1536;
+
+// A packet burst of a tenth of a second on a small VM.
+inline constexpr size_t FrameQueueLength = 256;
+
+// Enough for what arrives while a small VM does not run for a moment. Datagrams
+// that wait here count as memory of the process.
+inline constexpr int FrameKernelBytes = 1 << 20;
+
+inline network::UdpOptions frameSocketOptions() {
+  network::UdpOptions Options;
+  Options.DatagramBytes = FrameDatagramBytes;
+  Options.SendQueueLength = FrameQueueLength;
+  Options.KernelBufferBytes = FrameKernelBytes;
+  return Options;
+}
+
+// Queues a frame of Header and Body without a copy in between. Thread safety:
+// loop thread only.
+inline void sendFrame(network::UdpSocket &Socket, base::SocketAddress To,
+                      const flows::FrameHeader &Header,
+                      std::span<const uint8_t> Body) {
+  const std::span<uint8_t> Buffer = Socket.sendBuffer();
+  const size_t Size = flows::FrameHeaderBytes + Body.size();
+  if (Buffer.size() < Size)
+    return; // the queue is full; the socket has counted it
+  flows::writeHeader(Header, Buffer);
+  std::copy(Body.begin(), Body.end(), Buffer.begin() + flows::FrameHeaderBytes);
+  Socket.commitSend(Size, To);
+}
+
+} // namespace burdockstream::flowd
+
+#endif
--- /dev/null
+++ b/packages/flows/include/burdockstream/flows/FlowBalancer.h
@@ -0,0 +1,157 @@
+// The decision core of a balancer of flow services: which agent gets a packet,
+// and when a flow is reset. It has no sockets, clocks or threads.
+//
+// A flow that this balancer placed is in its table. A packet of any other flow,
+// because the fabric has moved it here, goes to all agents of its service; the
+// one whose target holds the flow delivers it and answers. A flow is reset only
+// if it is known that no living target holds it.
+#ifndef BURDOCKSTREAM_FLOWS_FLOWBALANCER_H
+#define BURDOCKSTREAM_FLOWS_FLOWBALANCER_H
+
+#include "burdockstream/base/Random.h"
+#include "burdockstream/flows/AgingMap.h"
+#include "burdockstream/flows/FlowDecision.h"
+#include "burdockstream/flows/Packet.h"
+#include "burdockstream/flows/Placement.h"
+#include "burdockstream/flows/RouteTable.h"
+#include "burdockstream/flows/TargetTable.h"
+
+#include <array>
+#include <functional>
+#include <memory>
+#include <unordered_map>
+#include <vector>
+
+namespace burdockstream::flows {
+
+struct BalancerHooks {
+  std::function<void(base::SocketAddress Agent, const FrameHeader &,
+                     std::span<const uint8_t> Body)>
+      SendFrame;
+  std::function<void(const FlowKey &, uint32_t Sequence)> SendReset;
+  // For logs and metrics; may be empty.
+  std::function<void(const FlowDecision &)> OnDecision;
+  // An agent knows of newer routes, which the balancer at Control has.
+  std::function<void(base::Revision, base::SocketAddress Control)>
+      OnNewerRoutes;
+};
+
+struct BalancerIdentity {
+  std::string FailureDomain;
+  base::SocketAddress Control; // where peers can read the routes
+};
+
+// How often agents are told that this balancer exists.
+inline constexpr base::Duration HelloInterval = std::chrono::milliseconds(400);
+
+// A view of the agents counts as settled when it has not changed for this long;
+// only then the answers of all agents prove that a flow is not held.
+inline constexpr base::Duration SettleTime = std::chrono::seconds(1);
+
+// Time in which agents answer a search; later it is forgotten, and the next
+// packet of the flow starts another one.
+inline constexpr base::Duration SearchLife = std::chrono::milliseconds(1500);
+
+// If the loop stood still for longer, the silence of agents proves nothing.
+inline constexpr base::Duration StallLimit = std::chrono::milliseconds(400);
+
+// An opening packet is offered to at most this many targets.
+inline constexpr size_t MaxOffers = 4;
+
+// Thread safety, for all methods: loop thread only.
+class FlowBalancer {
+public:
+  FlowBalancer(BalancerIdentity InitSelf, BalancerHooks InitHooks,
+               base::RandomSource InitRandom)
+      : Self(std::move(InitSelf)), Hooks(std::move(InitHooks)),
+        Random(InitRandom) {}
+
+  // Applies Table if its revision is higher than that of the one in force.
+  // Returns whether it did.
+  bool setRoutes(std::shared_ptr<const RouteTable> Table, base::TimePoint Now);
+
+  // Takes the store's list of agents, whole or one change of it.
+  void setAgents(const std::vector<AgentEntry> &Entries, base::TimePoint Now);
+  void listAgent(const AgentEntry &Entry, base::TimePoint Now);
+  void unlistAgent(base::SocketAddress Agent, base::TimePoint Now);
+
+  // Takes an agent that a peer knows. It stays in use if it answers.
+  void suggestAgent(const AgentEntry &Entry, base::TimePoint Now);
+
+  // Whether the store answers, so that routes and list are the newest.
+  void setStoreFresh(bool Fresh) { StoreFresh = Fresh; }
+
+  // A client's packet from the fabric.
+  void onClientPacket(const Packet &Packet, base::TimePoint Now);
+
+  // An agent's answer about a packet; Packet is decoded from its body.
+  void onAgentAnswer(base::SocketAddress Agent, const FrameHeader &Header,
+                     const Packet &Packet, base::TimePoint Now);
+
+  void onStatus(base::SocketAddress Agent, const TargetStatus &Status,
+                base::TimePoint Now);
+
+  // Call at least every 100 ms.
+  void tick(base::TimePoint Now);
+
+  // Whether routes are known and some agent has been heard.
+  bool canServe(base::TimePoint Now) const;
+
+  const RouteTable *routes() const { return Routes.get(); }
+  const TargetTable &targets() const { return Targets; }
+  size_t flows() const { return Flows.size(); }
+
+private:
+  struct FlowEntry {
+    TargetIndex Target = NoTarget;
+    std::array<TargetIndex, MaxOffers> Offered{}; // of the opening packet
+    uint8_t Offers = 0;
+    uint8_t Refusals = 0;   // offers that came back
+    bool MayBeOpen = false; // another balancer may have offered it
+  };
+  // Agents that have yet to answer whether their target holds a flow.
+  struct Search {
+    base::TimePoint Started;
+    std::vector<TargetIndex> Open;
+    uint32_t Acknowledged = 0; // newest of the client
+  };
+
+  void open(const Packet &Packet, base::TimePoint Now);
+  void place(const Packet &Packet, const Route &Route, FlowEntry &Entry,
+             base::TimePoint Now);
+  std::vector<Candidate> candidates(base::ServiceId Service,
+                                    const FlowEntry &Entry,
+                                    base::TimePoint Now);
+  void forward(const Packet &Packet, TargetIndex Index, const Route *Route,
+               FrameKind Kind);
+  void search(const Packet &Packet, TargetIndex Excluded, base::TimePoint Now);
+  void finishSearch(const FlowKey &Flow, const Search &Done,
+                    base::TimePoint Now);
+  void onReturned(TargetIndex Agent, ReturnReason Reason, const Packet &Packet,
+                  base::TimePoint Now);
+  void onHeld(TargetIndex Agent, const FlowKey &Flow, base::TimePoint Now);
+  void onNotHeld(TargetIndex Agent, const Packet &Packet, base::TimePoint Now);
+  void refuse(const Packet &Packet, DecisionKind Kind, size_t Candidates);
+  void sendHellos(base::TimePoint Now);
+  bool isSettled(base::TimePoint Now) const;
+  void decide(DecisionKind Kind, const FlowKey &Flow, TargetIndex Index,
+              size_t Candidates, base::TimePoint Now);
+
+  BalancerIdentity Self;
+  BalancerHooks Hooks;
+  base::RandomSource Random;
+  std::shared_ptr<const RouteTable> Routes;
+  TargetTable Targets;
+  AgingMap<FlowEntry> Flows;
+  std::unordered_map<FlowKey, Search> Searches;
+  bool StoreFresh = false;
+  bool ListKnown = false;
+  base::TimePoint LastListChange{};
+  base::TimePoint LastTick{};
+  base::TimePoint NextHello{};
+  base::TimePoint NextAging{};
+};
+
+} // namespace burdockstream::flows
+
+#endif
--- /dev/null
+++ b/packages/flows/src/FlowAgent.cpp
@@ -0,0 +1,421 @@
+#include "burdockstream/flows/FlowAgent.h"
+
+#include "TargetStates.h"
+#include "burdockstream/base/NameTable.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace burdockstream::flows {
+
+using internal::TargetEvent;
+
+namespace {
+
+constexpr base::NameTable<ProbeResult, 4> ProbeNames({{
+    {ProbeResult::Healthy, "healthy"},
+    {ProbeResult::Unwilling, "unwilling"},
+    {ProbeResult::NoProcess, "no_process"},
+    {ProbeResult::NoAnswer, "no_answer"},
+}});
+
+// A tag names the balancer that sent a packet and whether it was a search. Tag
+// zero marks packets that the target wrote itself.
+constexpr uint32_t SearchBit = 1U << 16;
+constexpr uint32_t TagMark = 1U << 17;
+
+constexpr uint32_t makeTag(uint16_t Sender, bool Searched) {
+  return TagMark | (Searched ? SearchBit : 0) | Sender;
+}
+
+// Weight of the newest request in the mean time that requests take.
+constexpr double ServiceTimeWeight = 0.1;
+
+} // namespace
+
+std::string_view toString(ProbeResult Result) {
+  return ProbeNames.name(Result);
+}
+
+void FlowAgent::start(base::TimePoint Now) {
+  NextProbe = Now + ProbeInterval;
+  Hooks.ProbeTarget();
+}
+
+void FlowAgent::setTarget(const TargetIdentity &Target, base::TimePoint Now) {
+  Options.Target = Target;
+  Heartbeats = HeartbeatFilter();
+  KnowsAllFlows = false;
+  apply(TargetEvent::Replace, "settings", Now);
+  start(Now);
+}
+
+void FlowAgent::onFrame(base::SocketAddress From, const FrameHeader &Header,
+                        const Packet &Packet, base::TimePoint Now) {
+  if (Packet.Opens)
+    return onOpening(From, Header, Packet, Now);
+  if (Header.Kind == FrameKind::Search)
+    return onSearch(From, Header, Packet, Now);
+  onForward(From, Header, Packet, Now);
+}
+
+ReturnReason FlowAgent::gate(const FrameHeader &Header,
+                             base::TimePoint Now) const {
+  if (Header.Service != base::serviceIdOf(Options.Target.Service))
+    return ReturnReason::OtherService;
+  if (State == TargetState::Stopped)
+    return ReturnReason::TargetStopped;
+  // The age is checked here too: after a freeze packets come before ticks.
+  if (LeavingItself || State != TargetState::Ready ||
+      Now - LastBeat > Options.HeartbeatOverdue)
+    return ReturnReason::NotReady;
+  if (Header.Routes < NewestRoutes && Now - NewestRoutesSince > OldRoutesGrace)
+    return ReturnReason::OldRoutes;
+  return ReturnReason::None;
+}
+
+void FlowAgent::onOpening(base::SocketAddress From, const FrameHeader &Header,
+                          const Packet &Packet, base::TimePoint Now) {
+  const ReturnReason Reason = gate(Header, Now);
+  if (Reason != ReturnReason::None) {
+    decide(DecisionKind::NotDelivered, Reason, Packet.Flow, From, Header, Now);
+    return answer(From, FrameKind::Returned, Reason, Packet.Bytes);
+  }
+  FlowRecord &Record = Flows.insert(Packet.Flow);
+  Record.Class = static_cast<WorkClass>(
+      std::min<size_t>(Header.WorkClass, WorkClasses - 1));
+  NotHeld.erase(Packet.Flow);
+  deliver(From, Packet, false);
+  decide(DecisionKind::Delivered, Reason, Packet.Flow, From, Header, Now);
+}
+
+void FlowAgent::onForward(base::SocketAddress From, const FrameHeader &Header,
+                          const Packet &Packet, base::TimePoint Now) {
+  FlowRecord *Record = Flows.use(Packet.Flow);
+  if (State == TargetState::Stopped) {
+    forget(Packet.Flow);
+    return answer(From, FrameKind::Returned, ReturnReason::TargetStopped,
+                  Packet.Bytes);
+  }
+  // An unknown flow of another service is not for this target, even as a test.
+  if (!Record && Header.Service != base::serviceIdOf(Options.Target.Service))
+    return answer(From, FrameKind::Returned, ReturnReason::OtherService,
+                  Packet.Bytes);
+  if (Record)
+    noteRequest(*Record, Packet, Now);
+  deliver(From, Packet, false);
+  if (Packet.Aborts)
+    forget(Packet.Flow);
+}
+
+void FlowAgent::onSearch(base::SocketAddress From, const FrameHeader &Header,
+                         const Packet &Packet, base::TimePoint Now) {
+  FlowRecord *Record = Flows.use(Packet.Flow);
+  if (Record && State != TargetState::Stopped) {
+    noteRequest(*Record, Packet, Now);
+    deliver(From, Packet, true);
+    return answer(From, FrameKind::Held, ReturnReason::None, Packet.Bytes);
+  }
+  const bool Foreign =
+      Header.Service != base::serviceIdOf(Options.Target.Service);
+  if (State == TargetState::Stopped || KnowsAllFlows || Foreign ||
+      NotHeld.use(Packet.Flow))
+    return answer(From, FrameKind::NotHeld, ReturnReason::None, Packet.Bytes);
+  // Only the target knows: it returns the packet if it does not hold the flow.
+  Searched.insert(Packet.Flow) = balancerIndex(From);
+  deliver(From, Packet, true);
+}
+
+void FlowAgent::deliver(base::SocketAddress From, const Packet &Packet,
+                        bool IsSearch) {
+  Hooks.Stamp(Packet.Bytes, makeTag(balancerIndex(From), IsSearch));
+  Hooks.DeliverToTarget(Packet.Bytes);
+}
+
+void FlowAgent::noteRequest(FlowRecord &Record, const Packet &Packet,
+                            base::TimePoint Now) {
+  Record.Acknowledged = Packet.Acknowledged;
+  const uint32_t End = Packet.Sequence + Packet.DataBytes;
+  // A retransmission of a request that has its answer is no new request.
+  const bool Newer = Record.RequestEnd == 0 ||
+                     static_cast<int32_t>(End - Record.RequestEnd) > 0;
+  if (Packet.DataBytes == 0 || !Newer)
+    return;
+  Record.RequestEnd = End;
+  if (Record.Waiting)
+    return;
+  Record.Waiting = true;
+  Record.RequestedAt = Now;
+  ++Waiting;
+}
+
+void FlowAgent::noteAnswer(FlowRecord &Record, base::TimePoint Now) {
+  if (!Record.Waiting)
+    return;
+  Record.Waiting = false;
+  --Waiting;
+  const base::Duration Taken = Now - Record.RequestedAt;
+  MeanServiceUs +=
+      ServiceTimeWeight * (static_cast<double>(Taken.count()) - MeanServiceUs);
+  if (Hooks.OnAnswered)
+    Hooks.OnAnswered(Record.Class, Taken);
+}
+
+void FlowAgent::onTargetPacket(const Packet &Packet, base::TimePoint Now) {
+  if (Packet.Returned)
+    return onReturned(Packet, Now);
+  FlowRecord &Record = Flows.insert(Packet.Flow);
+  if (const uint16_t *Asker = Searched.use(Packet.Flow)) {
+    answer(Senders[*Asker], FrameKind::Held, ReturnReason::None,
+           Packet.Bytes.first(Options.PacketHeaderBytes));
+    Searched.erase(Packet.Flow);
+  }
+  if (!Packet.Accepts && !Packet.Aborts) {
+    Record.Open = true;
+    if (!Record.Counted && !Packet.Finishes) {
+      Record.Counted = true;
+      ++OpenFlows;
+    }
+  }
+  if (Packet.DataBytes > 0)
+    noteAnswer(Record, Now);
+  if (Packet.Finishes)
+    stopCounting(Record);
+  Hooks.SendToClient(Packet.Flow, Packet.Bytes);
+  if (Packet.Aborts)
+    forget(Packet.Flow);
+}
+
+void FlowAgent::onReturned(const Packet &Packet, base::TimePoint Now) {
+  const uint32_t Tag = Packet.Tag;
+  const auto Index = static_cast<uint16_t>(Tag);
+  if ((Tag & TagMark) == 0 || Index >= Senders.size())
+    return; // stamped by an earlier run of this agent
+  const base::SocketAddress From = Senders[Index];
+  Hooks.Stamp(Packet.Bytes, 0);
+  const FlowRecord *Record = Flows.use(Packet.Flow);
+  const bool WasOpen = Record && Record->Open;
+  forget(Packet.Flow);
+  if (Packet.Opens)
+    return answer(From, FrameKind::Returned, ReturnReason::Refused,
+                  Packet.Bytes);
+  NotHeld.insert(Packet.Flow) = true;
+  Searched.erase(Packet.Flow);
+  if (WasOpen) {
+    // The flow was open at this target, so no other one can hold it.
+    Hooks.SendReset(Packet.Flow, Packet.Acknowledged);
+    return decide(DecisionKind::ResetLost, ReturnReason::NotHeld, Packet.Flow,
+                  From, FrameHeader(), Now);
+  }
+  if ((Tag & SearchBit) != 0)
+    return answer(From, FrameKind::NotHeld, ReturnReason::None, Packet.Bytes);
+  answer(From, FrameKind::Returned, ReturnReason::NotHeld, Packet.Bytes);
+}
+
+void FlowAgent::answer(base::SocketAddress To, FrameKind Kind,
+                       ReturnReason Reason, std::span<const uint8_t> Body) {
+  FrameHeader Header;
+  Header.Kind = Kind;
+  Header.Reason = Reason;
+  Header.Service = base::serviceIdOf(Options.Target.Service);
+  Header.Routes = NewestRoutes;
+  if (Kind != FrameKind::Returned)
+    Body = Body.first(std::min(Body.size(), Options.PacketHeaderBytes));
+  Hooks.SendFrame(To, Header, Body);
+}
+
+void FlowAgent::stopCounting(FlowRecord &Record) {
+  if (Record.Counted)
+    --OpenFlows;
+  if (Record.Waiting)
+    --Waiting;
+  Record.Counted = Record.Waiting = false;
+}
+
+void FlowAgent::forget(const FlowKey &Flow) {
+  if (FlowRecord *Record = Flows.use(Flow)) {
+    stopCounting(*Record);
+    Flows.erase(Flow);
+  }
+}
+
+void FlowAgent::resetAll(base::TimePoint Now) {
+  Flows.forEach([&](const FlowKey &Flow, FlowRecord &Record) {
+    stopCounting(Record);
+    if (!Record.Open)
+      return;
+    Hooks.SendReset(Flow, Record.Acknowledged);
+    decide(DecisionKind::ResetLost, ReturnReason::TargetStopped, Flow, {},
+           FrameHeader(), Now);
+  });
+  Flows.clear();
+  Searched.clear();
+}
+
+HeartbeatVerdict FlowAgent::onHeartbeat(const Heartbeat &Beat,
+                                        base::TimePoint Now) {
+  const bool First = !Heartbeats.known();
+  const HeartbeatVerdict Verdict = Heartbeats.judge(Beat, Options.Target);
+  if (Verdict == HeartbeatVerdict::Late || Verdict == HeartbeatVerdict::Foreign)
+    return Verdict;
+  if (Verdict == HeartbeatVerdict::NewRun && !First) {
+    resetAll(Now); // the flows ended with the earlier run
+    KnowsAllFlows = true;
+    apply(TargetEvent::Replace, "new_run", Now);
+  }
+  LastBeat = Now;
+  Slots = std::max(Beat.Slots, 1U);
+  WarmUntil = Now + std::chrono::milliseconds(Beat.WarmupMs);
+  apply(Beat.Draining ? TargetEvent::Drain : TargetEvent::Ready, "heartbeat",
+        Now);
+  return Verdict;
+}
+
+bool FlowAgent::onDeregister(const std::string &TargetId, int64_t StartedAtMs,
+                             base::TimePoint Now) {
+  if (!Heartbeats.end(TargetId, StartedAtMs))
+    return false;
+  // Its last answers may still be on their way, so no flow is reset yet.
+  apply(TargetEvent::End, "deregistered", Now);
+  return true;
+}
+
+void FlowAgent::onProbe(ProbeResult Result, base::TimePoint Now) {
+  if (Result == ProbeResult::NoProcess) {
+    resetAll(Now);
+    KnowsAllFlows = true; // whatever listens there later starts without flows
+    apply(TargetEvent::End, toString(Result), Now);
+  }
+  if (Result == ProbeResult::Healthy && State == TargetState::Unknown) {
+    LastBeat = Now;
+    apply(TargetEvent::Ready, toString(Result), Now);
+  }
+}
+
+void FlowAgent::beginLeaving(base::TimePoint Now) {
+  LeavingItself = true;
+  sendStatuses(Now);
+}
+
+void FlowAgent::apply(TargetEvent Event, std::string_view Cause,
+                      base::TimePoint Now) {
+  const auto Next = internal::nextState(State, Event);
+  if (!Next || *Next == State)
+    return;
+  const TargetState Before = std::exchange(State, *Next);
+  if (Hooks.OnState)
+    Hooks.OnState(Before, State, Cause, Now - LastBeat);
+  sendStatuses(Now);
+}
+
+void FlowAgent::tick(base::TimePoint Now) {
+  const bool Overdue = Now - LastBeat > Options.HeartbeatOverdue;
+  if (Overdue && State == TargetState::Ready)
+    apply(TargetEvent::Overdue, "overdue", Now);
+  const bool Doubtful = State == TargetState::Silent ||
+                        (State == TargetState::Draining && Overdue);
+  if (Doubtful && Now >= NextProbe)
+    start(Now);
+  std::erase_if(Balancers, [&](const Balancer &Each) {
+    return Now - Each.LastHello > BalancerLife;
+  });
+  if (Now >= NextStatus && (Waiting != SentWaiting || OpenFlows != SentFlows ||
+                            Now - LastStatus >= LongestStatusInterval))
+    sendStatuses(Now);
+  if (Now >= NextAging) {
+    Flows.age([&](const FlowKey &, FlowRecord &Old) { stopCounting(Old); });
+    NextAging = Now + FlowMemory;
+  }
+  if (Now >= NextNotHeldAging) {
+    NotHeld.age([](const FlowKey &, bool) {});
+    Searched.age([](const FlowKey &, uint16_t) {});
+    NextNotHeldAging = Now + NotHeldLife;
+  }
+}
+
+void FlowAgent::onHello(base::SocketAddress From, base::Revision Routes,
+                        const Hello &Hello, base::TimePoint Now) {
+  if (Hello.EntryMissing && Hooks.OnEntryMissing)
+    Hooks.OnEntryMissing(From);
+  if (Routes > NewestRoutes) {
+    NewestRoutes = Routes;
+    NewestRoutesAt = Hello.Control;
+    NewestRoutesSince = Now;
+    NextStatus = Now; // the other balancers learn of it at once
+    LastStatus = {};
+  }
+  const auto Known =
+      std::find_if(Balancers.begin(), Balancers.end(),
+                   [&](const auto &Each) { return Each.Address == From; });
+  if (Known != Balancers.end()) {
+    Known->LastHello = Now;
+    return;
+  }
+  Balancers.push_back({From, Now});
+  sendStatuses(Now);
+}
+
+void FlowAgent::sendStatuses(base::TimePoint Now) {
+  TargetStatus Status;
+  Status.Incarnation = Options.Incarnation;
+  Status.Sequence = ++StatusSequence;
+  Status.Service = Options.Target.Service;
+  Status.FailureDomain = Options.FailureDomain;
+  Status.State = LeavingItself ? TargetState::Leaving : State;
+  Status.Slots = Slots;
+  Status.Waiting = Waiting;
+  Status.Flows = OpenFlows;
+  Status.WarmupMs =
+      WarmUntil > Now
+          ? static_cast<uint32_t>(
+                std::chrono::duration_cast<std::chrono::milliseconds>(
+                    WarmUntil - Now)
+                    .count())
+          : 0;
+  Status.ServiceTimeUs = static_cast<uint32_t>(MeanServiceUs);
+  Status.NewestRoutes = NewestRoutes;
+  Status.NewestRoutesAt = NewestRoutesAt;
+  const auto Body = packStatus(Status);
+  for (const Balancer &Each : Balancers) {
+    FrameHeader Header;
+    Header.Kind = FrameKind::Status;
+    Header.Routes = NewestRoutes;
+    Hooks.SendFrame(Each.Address, Header, Body);
+  }
+  SentWaiting = Waiting;
+  SentFlows = OpenFlows;
+  LastStatus = Now;
+  NextStatus =
+      Now + std::max<base::Duration>(
+                ShortestStatusInterval,
+                StatusTimePerBalancer * static_cast<int64_t>(Balancers.size()));
+}
+
+uint16_t FlowAgent::balancerIndex(base::SocketAddress Address) {
+  const auto Known = std::find(Senders.begin(), Senders.end(), Address);
+  if (Known != Senders.end())
+    return static_cast<uint16_t>(Known - Senders.begin());
+  Senders.push_back(Address);
+  return static_cast<uint16_t>(Senders.size() - 1);
+}
+
+void FlowAgent::decide(DecisionKind Kind, ReturnReason Reason,
+                       const FlowKey &Flow, base::SocketAddress From,
+                       const FrameHeader &Header, base::TimePoint Now) {
+  if (!Hooks.OnDecision)
+    return;
+  FlowDecision Decision;
+  Decision.Kind = Kind;
+  Decision.Flow = Flow;
+  Decision.Reason = Reason;
+  Decision.Class = static_cast<WorkClass>(
+      std::min<size_t>(Header.WorkClass, WorkClasses - 1));
+  Decision.Balancer = From;
+  Decision.Routes = Header.Routes;
+  Decision.Waiting = Waiting;
+  Decision.Slots = Slots;
+  Decision.StatusAge = Now - LastBeat;
+  Hooks.OnDecision(Decision);
+}
+
+} // namespace burdockstream::flows
--- /dev/null
+++ b/packages/flows/src/Frame.cpp
@@ -0,0 +1,139 @@
+#include "burdockstream/flows/Frame.h"
+
+#include "burdockstream/base/NameTable.h"
+#include "burdockstream/messages/Pack.h"
+
+#include <cstring>
+#include <msgpack.hpp>
+
+namespace burdockstream::flows {
+
+namespace {
+
+constexpr base::NameTable<ReturnReason, 7> ReasonNames({{
+    {ReturnReason::None, "none"},
+    {ReturnReason::Refused, "refused_by_target"},
+    {ReturnReason::NotHeld, "not_held"},
+    {ReturnReason::NotReady, "target_not_ready"},
+    {ReturnReason::OtherService, "other_service"},
+    {ReturnReason::OldRoutes, "old_routes"},
+    {ReturnReason::TargetStopped, "target_stopped"},
+}});
+
+constexpr base::NameTable<TargetState, 6> StateNames({{
+    {TargetState::Unknown, "unknown"},
+    {TargetState::Ready, "ready"},
+    {TargetState::Draining, "draining"},
+    {TargetState::Silent, "silent"},
+    {TargetState::Stopped, "stopped"},
+    {TargetState::Leaving, "leaving"},
+}});
+
+template <typename IntegerT>
+void writeInteger(IntegerT Value, std::span<uint8_t> Out, size_t Offset) {
+  for (size_t I = 0; I < sizeof(Value); ++I)
+    Out[Offset + I] =
+        static_cast<uint8_t>(static_cast<uint64_t>(Value) >> (8 * I));
+}
+
+uint64_t readInteger(std::span<const uint8_t> In, size_t Offset) {
+  uint64_t Value = 0;
+  for (size_t I = 0; I < 8; ++I)
+    Value |= uint64_t{In[Offset + I]} << (8 * I);
+  return Value;
+}
+
+constexpr size_t HelloBytes = 9;
+
+// The layout of a status on the wire: an array, so that its order is fixed.
+using StatusFields = std::tuple<uint64_t, uint64_t, std::string, std::string,
+                                uint8_t, uint32_t, uint32_t, uint32_t, uint32_t,
+                                uint32_t, int64_t, base::SocketAddress>;
+
+} // namespace
+
+std::string_view toString(ReturnReason Reason) {
+  return ReasonNames.name(Reason);
+}
+
+std::string_view toString(TargetState State) { return StateNames.name(State); }
+
+void writeHeader(const FrameHeader &Header, std::span<uint8_t> Out) {
+  Out[0] = static_cast<uint8_t>(Header.Kind);
+  Out[1] = static_cast<uint8_t>(Header.Reason);
+  Out[2] = Header.WorkClass;
+  Out[3] = 0;
+  writeInteger(Header.Service.Value, Out, 4);
+  writeInteger(Header.Routes, Out, 12);
+}
+
+std::optional<Frame> readFrame(std::span<uint8_t> Datagram) {
+  if (Datagram.size() < FrameHeaderBytes ||
+      Datagram[0] < static_cast<uint8_t>(FrameKind::Forward) ||
+      Datagram[0] > static_cast<uint8_t>(FrameKind::Status) ||
+      Datagram[1] > static_cast<uint8_t>(ReturnReason::TargetStopped))
+    return std::nullopt;
+  Frame Result;
+  Result.Header.Kind = static_cast<FrameKind>(Datagram[0]);
+  Result.Header.Reason = static_cast<ReturnReason>(Datagram[1]);
+  Result.Header.WorkClass = Datagram[2];
+  Result.Header.Service.Value = readInteger(Datagram, 4);
+  Result.Header.Routes = static_cast<base::Revision>(readInteger(Datagram, 12));
+  Result.Body = Datagram.subspan(FrameHeaderBytes);
+  return Result;
+}
+
+std::vector<uint8_t> packHello(const Hello &Hello) {
+  std::vector<uint8_t> Body(HelloBytes);
+  writeInteger(base::packAddress(Hello.Control), Body, 0);
+  Body[8] = Hello.EntryMissing ? 1 : 0;
+  return Body;
+}
+
+std::optional<Hello> unpackHello(std::span<const uint8_t> Body) {
+  if (Body.size() != HelloBytes)
+    return std::nullopt;
+  const uint64_t Packed = readInteger(Body, 0);
+  return Hello{
+      {static_cast<uint32_t>(Packed >> 16), static_cast<uint16_t>(Packed)},
+      Body[8] != 0};
+}
+
+std::vector<uint8_t> packStatus(const TargetStatus &Status) {
+  const StatusFields Fields(
+      Status.Incarnation, Status.Sequence, Status.Service, Status.FailureDomain,
+      static_cast<uint8_t>(Status.State), Status.Slots, Status.Waiting,
+      Status.Flows, Status.WarmupMs, Status.ServiceTimeUs, Status.NewestRoutes,
+      Status.NewestRoutesAt);
+  msgpack::sbuffer Buffer;
+  msgpack::pack(Buffer, Fields);
+  return {Buffer.data(), Buffer.data() + Buffer.size()};
+}
+
+std::optional<TargetStatus> unpackStatus(std::span<const uint8_t> Body) {
+  // msgpack reports malformed input by exceptions, which end here.
+  try {
+    const auto Handle = msgpack::unpack(
+        reinterpret_cast<const char *>(Body.data()), Body.size());
+    const auto Fields = Handle.get().as<StatusFields>();
+    const uint8_t State = std::get<4>(Fields);
+    if (State > static_cast<uint8_t>(TargetState::Leaving))
+      return std::nullopt;
+    return TargetStatus{std::get<0>(Fields),
+                        std::get<1>(Fields),
+                        std::get<2>(Fields),
+                        std::get<3>(Fields),
+                        static_cast<TargetState>(State),
+                        std::get<5>(Fields),
+                        std::get<6>(Fields),
+                        std::get<7>(Fields),
+                        std::get<8>(Fields),
+                        std::get<9>(Fields),
+                        std::get<10>(Fields),
+                        std::get<11>(Fields)};
+  } catch (const std::exception &) {
+    return std::nullopt;
+  }
+}
+
+} // namespace burdockstream::flows
--- /dev/null
+++ b/packages/flows/src/Placement.cpp
@@ -0,0 +1,32 @@
+#include "burdockstream/flows/Placement.h"
+
+namespace burdockstream::flows {
+
+double loadOf(const Candidate &Choice) {
+  double Work = Choice.Waiting + Choice.Unreported + WorkPerFlow * Choice.Flows;
+  if (Choice.Warming)
+    Work = (Work + 1) * WarmupFactor;
+  if (Choice.Remote)
+    Work += RemotePenalty;
+  return Work / Choice.Slots;
+}
+
+std::optional<uint32_t> chooseTarget(std::span<const Candidate> Choices,
+                                     base::RandomSource &Random) {
+  std::optional<uint32_t> Best;
+  double BestLoad = 0;
+  uint64_t Equal = 0;
+  for (const Candidate &Choice : Choices) {
+    const double Load = loadOf(Choice);
+    if (Best && Load > BestLoad)
+      continue;
+    Equal = Best && Load == BestLoad ? Equal + 1 : 1;
+    if (Equal > 1 && base::randomBelow(Random, Equal) != 0)
+      continue;
+    Best = Choice.Target;
+    BestLoad = Load;
+  }
+  return Best;
+}
+
+} // namespace burdockstream::flows
--- /dev/null
+++ b/packages/flows/src/TargetTable.cpp
@@ -0,0 +1,117 @@
+#include "burdockstream/flows/TargetTable.h"
+
+#include <algorithm>
+#include <unordered_set>
+
+namespace burdockstream::flows {
+
+bool TargetTable::setList(const std::vector<AgentEntry> &Entries,
+                          base::TimePoint Now) {
+  std::unordered_set<base::SocketAddress> Present;
+  bool Changed = false;
+  for (const AgentEntry &Entry : Entries) {
+    Present.insert(Entry.Agent);
+    const Target *Known = at(indexOf(Entry.Agent));
+    Changed = Changed || !Known || !Known->Listed;
+    list(Entry, Now);
+  }
+  for (const auto &Known : Targets)
+    if (Known && Known->Listed && Present.count(Known->Agent) == 0) {
+      Known->Listed = false;
+      Changed = true;
+    }
+  return Changed;
+}
+
+void TargetTable::list(const AgentEntry &Entry, base::TimePoint Now) {
+  Target &Listed = add(Entry.Agent, Now);
+  Listed.Listed = true;
+  if (Listed.Heard)
+    return; // the agent itself has said more than its entry
+  Listed.FailureDomain = Entry.FailureDomain;
+  setService(indexOf(Entry.Agent), Entry.Service);
+}
+
+void TargetTable::unlist(base::SocketAddress Agent) {
+  if (Target *Known = at(indexOf(Agent)))
+    Known->Listed = false;
+}
+
+Target *TargetTable::update(base::SocketAddress Agent,
+                            const TargetStatus &Status, base::TimePoint Now) {
+  Target &Known = add(Agent, Now);
+  if (Known.Heard && Known.Status.Incarnation == Status.Incarnation &&
+      Status.Sequence <= Known.Status.Sequence)
+    return nullptr;
+  Known.Heard = true;
+  Known.LastHeard = Now;
+  Known.Status = Status;
+  Known.FailureDomain = Status.FailureDomain;
+  Known.Unreported = 0;
+  setService(indexOf(Agent), Status.Service);
+  return &Known;
+}
+
+void TargetTable::expire(base::TimePoint Now) {
+  for (TargetIndex I = 0; I < Targets.size(); ++I)
+    if (Targets[I] && !Targets[I]->Listed &&
+        Now - Targets[I]->LastHeard > UnlistedLife)
+      drop(I);
+}
+
+void TargetTable::forgiveSilence(base::TimePoint Now) {
+  for (const auto &Known : Targets)
+    if (Known)
+      Known->LastHeard = Now;
+}
+
+TargetIndex TargetTable::indexOf(base::SocketAddress Agent) const {
+  const auto Found = ByAgent.find(Agent);
+  return Found == ByAgent.end() ? NoTarget : Found->second;
+}
+
+const std::vector<TargetIndex> &
+TargetTable::ofService(base::ServiceId Service) const {
+  static const std::vector<TargetIndex> None;
+  const auto Found = ByService.find(Service);
+  return Found == ByService.end() ? None : Found->second;
+}
+
+Target &TargetTable::add(base::SocketAddress Agent, base::TimePoint Now) {
+  if (Target *Known = at(indexOf(Agent)))
+    return *Known;
+  ByAgent[Agent] = static_cast<TargetIndex>(Targets.size());
+  Targets.push_back(std::make_unique<Target>());
+  Targets.back()->Agent = Agent;
+  Targets.back()->LastHeard = Now;
+  return *Targets.back();
+}
+
+void TargetTable::setService(TargetIndex Index, const std::string &Service) {
+  const base::ServiceId Id = base::serviceIdOf(Service);
+  Target &Known = *Targets[Index];
+  if (Known.Service == Id)
+    return;
+  std::erase(ByService[Known.Service], Index);
+  ByService[Id].push_back(Index);
+  Known.Service = Id;
+}
+
+void TargetTable::drop(TargetIndex Index) {
+  std::erase(ByService[Targets[Index]->Service], Index);
+  ByAgent.erase(Targets[Index]->Agent);
+  Targets[Index].reset();
+}
+
+bool takesFlows(const Target &Target, base::TimePoint Now) {
+  return Target.Heard && Target.Status.State == TargetState::Ready &&
+         Now - Target.LastHeard <= StaleStatus;
+}
+
+bool isLost(const Target &Target, base::TimePoint Now) {
+  const bool Restarts =
+      Target.Heard && Target.Status.State == TargetState::Leaving;
+  return Now - Target.LastHeard > (Restarts ? RestartTime : LostStatus);
+}
+
+} // namespace burdockstream::flows
--- a/packages/http/include/burdockstream/http/HttpClient.h
+++ b/packages/http/include/burdockstream/http/HttpClient.h
@@ -1,5 +1,6 @@
-// Asynchronous HTTP POST of JSON on the GLib loop, shared by the store client
-// and the daemon-to-daemon JSON-RPC client.
+// Asynchronous HTTP on the GLib loop, shared by the store clients and the
+// daemon-to-daemon JSON-RPC client. A connection whose peer has vanished is
+// found by keep-alive probes within a few seconds.
 #ifndef BURDOCKSTREAM_HTTP_HTTPCLIENT_H
 #define BURDOCKSTREAM_HTTP_HTTPCLIENT_H
 
@@ -28,8 +29,15 @@
   std::string Body;
   std::vector<HttpHeader> Headers;
   base::Duration Timeout = std::chrono::seconds(2);
+  std::string Method = "POST";
 };
 
+struct HttpResponse {
+  unsigned Status = 0;
+  std::string Body;
+};
+
+using ResponseCallback = std::function<void(base::Result<HttpResponse>)>;
 using JsonCallback = std::function<void(base::Result<Json::Value>)>;
 
 // Called for each JSON value of a streamed answer.
@@ -51,7 +59,14 @@
   HttpClient(const HttpClient &) = delete;
   HttpClient &operator=(const HttpClient &) = delete;
 
-  // Posts Request and calls Callback once, later, from the loop. An error of
+  // Sends Request and calls Callback once, later, from the loop, with whatever
+  // status the server answers. An error of kind Unavailable means that the
+  // request was not sent; OutcomeUnknown means that it may have been processed.
+  // Precondition: Request.Url is an http URL. Thread safety: loop thread only.
+  void send(const HttpRequest &Request, ResponseCallback Callback);
+
+  // Posts Request and reads the answer as JSON. Errors are those of send(), and
+  // a status of 400 or more is one too. An error of
   // kind Unavailable means that the request was not sent; OutcomeUnknown means
   // that it may have been processed. Precondition: Request.Url is an http URL.
   // Thread safety: loop thread only.
--- a/packages/http/src/HttpClient.cpp
+++ b/packages/http/src/HttpClient.cpp
@@ -24,7 +24,7 @@
 // One call in flight. It owns itself until the callback has run.
 struct Call {
   std::string Url;
-  JsonCallback Callback;
+  ResponseCallback Callback;
   SoupMessage *Message = nullptr;
   GCancellable *Cancellable = nullptr;
   guint TimeoutSource = 0;
@@ -44,21 +44,18 @@
   return G_SOURCE_REMOVE;
 }
 
-base::Result<Json::Value> readAnswer(const Call &Pending, GBytes *Body) {
-  const guint Status = soup_message_get_status(Pending.Message);
-  gsize Size = 0;
-  const auto *Data = static_cast<const char *>(g_bytes_get_data(Body, &Size));
-  if (Status >= 500)
+base::Result<Json::Value> readAnswer(const std::string &Url,
+                                     const HttpResponse &Answer) {
+  if (Answer.Status >= 500)
     return makeError(ErrorKind::OutcomeUnknown,
-                     Pending.Url + " answered HTTP status " +
-                         std::to_string(Status) +
+                     Url + " answered HTTP status " +
+                         std::to_string(Answer.Status) +
                          "; read the value back, then try again");
-  if (Status >= 400)
+  if (Answer.Status >= 400)
     return makeError(ErrorKind::InvalidArgument,
-                     Pending.Url + " refused the request with HTTP status " +
-                         std::to_string(Status) + ": " +
-                         std::string(Data ? Data : "", Size));
-  return internal::parseAnswer(std::string_view(Data ? Data : "", Size));
+                     Url + " refused the request with HTTP status " +
+                         std::to_string(Answer.Status) + ": " + Answer.Body);
+  return internal::parseAnswer(Answer.Body);
 }
 
 void finishCall(GObject *Source, GAsyncResult *AsyncResult, gpointer Data) {
@@ -71,7 +68,10 @@
     g_clear_error(&Cause);
     return;
   }
-  base::Result<Json::Value> Answer = readAnswer(*Pending, Body);
+  gsize Size = 0;
+  const auto *Text = static_cast<const char *>(g_bytes_get_data(Body, &Size));
+  HttpResponse Answer{soup_message_get_status(Pending->Message),
+                      std::string(Text ? Text : "", Size)};
   g_bytes_unref(Body);
   Pending->Callback(std::move(Answer));
 }
@@ -88,9 +88,9 @@
   g_object_unref(Session);
 }
 
-void HttpClient::postJson(const HttpRequest &Request, JsonCallback Callback) {
+void HttpClient::send(const HttpRequest &Request, ResponseCallback Callback) {
   auto *Pending = new Call{Request.Url, std::move(Callback)};
-  Pending->Message = internal::newPost(Request);
+  Pending->Message = internal::newMessage(Request);
   CHECK_NE(Pending->Message, nullptr) << "malformed URL " << Request.Url;
   Pending->Cancellable = g_cancellable_new();
   Pending->TimeoutSource =
@@ -100,4 +100,14 @@
                                    finishCall, Pending);
 }
 
+void HttpClient::postJson(const HttpRequest &Request, JsonCallback Callback) {
+  send(Request, [Url = Request.Url, Done = std::move(Callback)](
+                    base::Result<HttpResponse> Answer) {
+    if (Answer.has_error())
+      Done(Answer.error());
+    else
+      Done(readAnswer(Url, Answer.value()));
+  });
+}
+
 } // namespace burdockstream::http
--- a/packages/http/src/HttpStream.cpp
+++ b/packages/http/src/HttpStream.cpp
@@ -125,7 +125,7 @@
   State->Url = Request.Url;
   State->OnValue = std::move(OnValue);
   State->OnEnd = std::move(OnEnd);
-  State->Message = internal::newPost(Request);
+  State->Message = internal::newMessage(Request);
   CHECK_NE(State->Message, nullptr) << "malformed URL " << Request.Url;
   State->Cancellable = g_cancellable_new();
   soup_session_send_async(Session, State->Message, G_PRIORITY_DEFAULT,
--- a/packages/http/src/SoupRequest.cpp
+++ b/packages/http/src/SoupRequest.cpp
@@ -2,19 +2,55 @@
 
 #include <json/reader.h>
 #include <memory>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
 
 namespace burdockstream::http::internal {
 
 using base::ErrorKind;
 using base::makeError;
 
-SoupMessage *newPost(const HttpRequest &Request) {
-  SoupMessage *Message = soup_message_new("POST", Request.Url.c_str());
+namespace {
+
+// A vanished peer is found after one idle second and two probes.
+constexpr int KeepAliveIdleSeconds = 1;
+constexpr int KeepAliveProbeSeconds = 1;
+constexpr int KeepAliveProbes = 2;
+
+// The same bound for data that the peer does not acknowledge.
+constexpr int UnacknowledgedMilliseconds = 2'500;
+
+void onNetworkEvent(SoupMessage *, GSocketClientEvent Event,
+                    GIOStream *Connection, gpointer) {
+  if (Event != G_SOCKET_CLIENT_CONNECTED || !G_IS_SOCKET_CONNECTION(Connection))
+    return;
+  GSocket *Socket =
+      g_socket_connection_get_socket(G_SOCKET_CONNECTION(Connection));
+  g_socket_set_keepalive(Socket, TRUE);
+  g_socket_set_option(Socket, IPPROTO_TCP, TCP_KEEPIDLE, KeepAliveIdleSeconds,
+                      nullptr);
+  g_socket_set_option(Socket, IPPROTO_TCP, TCP_KEEPINTVL, KeepAliveProbeSeconds,
+                      nullptr);
+  g_socket_set_option(Socket, IPPROTO_TCP, TCP_KEEPCNT, KeepAliveProbes,
+                      nullptr);
+  g_socket_set_option(Socket, IPPROTO_TCP, TCP_USER_TIMEOUT,
+                      UnacknowledgedMilliseconds, nullptr);
+}
+
+} // namespace
+
+SoupMessage *newMessage(const HttpRequest &Request) {
+  SoupMessage *Message =
+      soup_message_new(Request.Method.c_str(), Request.Url.c_str());
   if (!Message)
     return nullptr;
-  GBytes *Body = g_bytes_new(Request.Body.data(), Request.Body.size());
-  soup_message_set_request_body_from_bytes(Message, "application/json", Body);
-  g_bytes_unref(Body);
+  g_signal_connect(Message, "network-event", G_CALLBACK(onNetworkEvent),
+                   nullptr);
+  if (Request.Method == "POST") {
+    GBytes *Body = g_bytes_new(Request.Body.data(), Request.Body.size());
+    soup_message_set_request_body_from_bytes(Message, "application/json", Body);
+    g_bytes_unref(Body);
+  }
   SoupMessageHeaders *Headers = soup_message_get_request_headers(Message);
   for (const HttpHeader &Header : Request.Headers)
     soup_message_headers_append(Headers, Header.Name.c_str(),
--- a/packages/http/src/SoupRequest.h
+++ b/packages/http/src/SoupRequest.h
@@ -13,7 +13,7 @@
 
 // Returns a new message for Request, or null if the URL is malformed. The
 // caller owns it.
-SoupMessage *newPost(const HttpRequest &Request);
+SoupMessage *newMessage(const HttpRequest &Request);
 
 // Maps a transport error to Unavailable (not sent) or OutcomeUnknown (may have
 // been sent).
--- a/packages/store/include/burdockstream/store/EtcdJson.h
+++ b/packages/store/include/burdockstream/store/EtcdJson.h
@@ -3,6 +3,7 @@
 #ifndef BURDOCKSTREAM_STORE_ETCDJSON_H
 #define BURDOCKSTREAM_STORE_ETCDJSON_H
 
+#include "burdockstream/store/Base64.h"
 #include "burdockstream/store/StoreClient.h"
 
 #include <json/value.h>
@@ -10,13 +11,6 @@
 
 namespace burdockstream::store::etcd {
 
-// Encodes as base64. Thread safety: any thread.
-std::string encodeBase64(const std::string &Plain);
-
-// Decodes base64; malformed input gives an empty string. Thread safety: any
-// thread.
-std::string decodeBase64(const std::string &Encoded);
-
 // Returns the end of the key range of all keys with this prefix. Thread safety:
 // any thread.
 std::string prefixEnd(std::string Prefix);
@@ -28,6 +22,9 @@
 // Converts the gateway's key-value object. Thread safety: any thread.
 KeyValue toKeyValue(const Json::Value &Value);
 
+// Builds the body of a write without a condition. Thread safety: any thread.
+Json::Value putBody(const PutRequest &Request);
+
 // Builds the body of a transaction that writes a key if its revision matches
 // and reads it if not. Thread safety: any thread.
 Json::Value casBody(const CasRequest &Request);
--- /dev/null
+++ b/packages/store/include/burdockstream/store/Store.h
@@ -0,0 +1,96 @@
+// What burdockstream needs of a key-value store, whichever product serves it.
+// All calls are asynchronous on the GLib loop. An error of kind Unavailable
+// means that nothing was done; OutcomeUnknown, that it may have been.
+#ifndef BURDOCKSTREAM_STORE_STORE_H
+#define BURDOCKSTREAM_STORE_STORE_H
+
+#include "burdockstream/base/Error.h"
+#include "burdockstream/base/Ids.h"
+#include "burdockstream/base/Time.h"
+#include "burdockstream/http/HttpClient.h"
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace burdockstream::store {
+
+using LeaseId = int64_t;
+
+inline constexpr LeaseId NoLease = 0;
+
+struct KeyValue {
+  std::string Key;
+  std::string Value;
+  base::Revision ModRevision = 0;
+};
+
+struct RangeReply {
+  base::Revision StoreRevision = 0;
+  std::vector<KeyValue> Values;
+};
+
+// Writes a key; with a lease, the key is removed when the lease ends.
+struct PutRequest {
+  std::string Key;
+  std::string Value;
+  LeaseId Lease = NoLease;
+};
+
+struct LeaseReply {
+  LeaseId Lease = NoLease;
+  std::chrono::seconds Ttl{0};
+};
+
+struct WatchEvent {
+  bool Deleted = false;
+  KeyValue Entry;
+};
+
+struct WatchRequest {
+  std::string Prefix;
+  base::Revision StartRevision = 0; // 0: from now on
+};
+
+using RangeCallback = std::function<void(base::Result<RangeReply>)>;
+using LeaseCallback = std::function<void(base::Result<LeaseReply>)>;
+using DoneCallback = std::function<void(base::Result<void>)>;
+using WatchCallback = std::function<void(const WatchEvent &)>;
+using WatchEndCallback = std::function<void(base::Error)>;
+
+// Thread safety, for all methods: loop thread only.
+class Store {
+public:
+  virtual ~Store() = default;
+
+  virtual void readKey(const std::string &Key, RangeCallback Callback) = 0;
+
+  // Reads all keys that start with Prefix. Changes after the reply's revision
+  // may be missing or present.
+  virtual void readPrefix(const std::string &Prefix,
+                          RangeCallback Callback) = 0;
+
+  // Writes a key whatever it holds.
+  virtual void put(const PutRequest &Request, DoneCallback Callback) = 0;
+
+  virtual void grantLease(std::chrono::seconds Ttl, LeaseCallback Callback) = 0;
+
+  // Extends a lease. A lease that has lapsed is an error of kind NotFound.
+  virtual void keepAlive(LeaseId Lease, LeaseCallback Callback) = 0;
+
+  // Ends a lease; its keys are removed.
+  virtual void endLease(LeaseId Lease, DoneCallback Callback) = 0;
+
+  // Opens a watch, which lasts until the returned object is destroyed or OnEnd
+  // is called. An error of kind NotFound at its end means that the history
+  // since StartRevision is gone.
+  virtual std::unique_ptr<http::HttpStream> watch(const WatchRequest &Request,
+                                                  WatchCallback OnEvent,
+                                                  WatchEndCallback OnEnd) = 0;
+};
+
+} // namespace burdockstream::store
+
+#endif
--- a/packages/store/include/burdockstream/store/StoreClient.h
+++ b/packages/store/include/burdockstream/store/StoreClient.h
@@ -9,6 +9,7 @@
 #include "burdockstream/base/SocketAddress.h"
 #include "burdockstream/base/Time.h"
 #include "burdockstream/http/HttpClient.h"
+#include "burdockstream/store/Store.h"
 
 #include <cstdint>
 #include <functional>
@@ -19,21 +20,6 @@
 
 namespace burdockstream::store {
 
-using LeaseId = int64_t;
-
-inline constexpr LeaseId NoLease = 0;
-
-struct KeyValue {
-  std::string Key;
-  std::string Value;
-  base::Revision ModRevision = 0;
-};
-
-struct RangeReply {
-  base::Revision StoreRevision = 0;
-  std::vector<KeyValue> Values;
-};
-
 struct CasRequest {
   std::string Key;
   std::string Value;
@@ -49,21 +35,6 @@
   std::optional<KeyValue> Current;
 };
 
-struct LeaseReply {
-  LeaseId Lease = NoLease;
-  std::chrono::seconds Ttl{0};
-};
-
-struct WatchEvent {
-  bool Deleted = false;
-  KeyValue Entry;
-};
-
-struct WatchRequest {
-  std::string Prefix;
-  base::Revision StartRevision = 0; // 0: from now on
-};
-
 // Counts of calls, for the store's rate limits. A watch counts as one call.
 struct CallCounters {
   uint64_t Reads = 0;
@@ -71,13 +42,9 @@
   uint64_t Failures = 0;
 };
 
-using RangeCallback = std::function<void(base::Result<RangeReply>)>;
 using CasCallback = std::function<void(base::Result<CasReply>)>;
-using LeaseCallback = std::function<void(base::Result<LeaseReply>)>;
-using WatchCallback = std::function<void(const WatchEvent &)>;
-using WatchEndCallback = std::function<void(base::Error)>;
 
-class StoreClient {
+class StoreClient : public Store {
 public:
   // Precondition: Endpoints is not empty. A call goes to the endpoint that
   // answered last; a failure selects the next one for later calls.
@@ -85,10 +52,13 @@
               base::Duration InitTimeout);
 
   // Reads one key. Thread safety: loop thread only.
-  void readKey(const std::string &Key, RangeCallback Callback);
+  void readKey(const std::string &Key, RangeCallback Callback) override;
 
   // Reads all keys that start with Prefix. Thread safety: loop thread only.
-  void readPrefix(const std::string &Prefix, RangeCallback Callback);
+  void readPrefix(const std::string &Prefix, RangeCallback Callback) override;
+
+  // Writes a key whatever it holds. Thread safety: loop thread only.
+  void put(const PutRequest &Request, DoneCallback Callback) override;
 
   // Writes a key if its revision is the expected one. A lost race is a
   // CasReply, not an error. If the key already holds exactly the value of the
@@ -97,17 +67,20 @@
   void compareAndSwap(const CasRequest &Request, CasCallback Callback);
 
   // Requests a new lease. Thread safety: loop thread only.
-  void grantLease(std::chrono::seconds Ttl, LeaseCallback Callback);
+  void grantLease(std::chrono::seconds Ttl, LeaseCallback Callback) override;
 
   // Extends a lease. A lease that has lapsed is an error of kind NotFound.
   // Thread safety: loop thread only.
-  void keepAlive(LeaseId Lease, LeaseCallback Callback);
+  void keepAlive(LeaseId Lease, LeaseCallback Callback) override;
+
+  // Ends a lease; its keys are removed. Thread safety: loop thread only.
+  void endLease(LeaseId Lease, DoneCallback Callback) override;
 
   // Opens a watch, which lasts until the returned object is destroyed or OnEnd
   // is called. Thread safety: loop thread only.
   std::unique_ptr<http::HttpStream> watch(const WatchRequest &Request,
                                           WatchCallback OnEvent,
-                                          WatchEndCallback OnEnd);
+                                          WatchEndCallback OnEnd) override;
 
   const CallCounters &counters() const { return Counters; }
 
--- a/packages/store/src/EtcdJson.cpp
+++ b/packages/store/src/EtcdJson.cpp
@@ -1,29 +1,10 @@
 #include "burdockstream/store/EtcdJson.h"
 
 #include <charconv>
-#include <glib.h>
 #include <json/writer.h>
 
 namespace burdockstream::store::etcd {
 
-std::string encodeBase64(const std::string &Plain) {
-  gchar *Encoded = g_base64_encode(
-      reinterpret_cast<const guchar *>(Plain.data()), Plain.size());
-  std::string Text(Encoded);
-  g_free(Encoded);
-  return Text;
-}
-
-std::string decodeBase64(const std::string &Encoded) {
-  if (Encoded.empty())
-    return {};
-  gsize Size = 0;
-  guchar *Plain = g_base64_decode(Encoded.c_str(), &Size);
-  std::string Text(reinterpret_cast<const char *>(Plain), Size);
-  g_free(Plain);
-  return Text;
-}
-
 std::string prefixEnd(std::string Prefix) {
   while (!Prefix.empty()) {
     const auto Last = static_cast<unsigned char>(Prefix.back());
@@ -55,6 +36,15 @@
   return Entry;
 }
 
+Json::Value putBody(const PutRequest &Request) {
+  Json::Value Put;
+  Put["key"] = encodeBase64(Request.Key);
+  Put["value"] = encodeBase64(Request.Value);
+  if (Request.Lease != NoLease)
+    Put["lease"] = std::to_string(Request.Lease);
+  return Put;
+}
+
 Json::Value casBody(const CasRequest &Request) {
   const std::string Key = encodeBase64(Request.Key);
   Json::Value Compare;
@@ -63,10 +53,7 @@
   Compare["result"] = "EQUAL";
   Compare["mod_revision"] = std::to_string(Request.ExpectedRevision);
   Json::Value Put;
-  Put["request_put"]["key"] = Key;
-  Put["request_put"]["value"] = encodeBase64(Request.Value);
-  if (Request.Lease != NoLease)
-    Put["request_put"]["lease"] = std::to_string(Request.Lease);
+  Put["request_put"] = putBody({Request.Key, Request.Value, Request.Lease});
   Json::Value Read;
   Read["request_range"]["key"] = Key;
   Json::Value Body;
--- a/packages/store/src/StoreClient.cpp
+++ b/packages/store/src/StoreClient.cpp
@@ -49,6 +49,15 @@
   return Reply;
 }
 
+http::JsonCallback toDone(DoneCallback Callback) {
+  return [Done = std::move(Callback)](Result<Json::Value> Answer) {
+    if (Answer.has_error())
+      Done(Answer.error());
+    else
+      Done(boost::outcome_v2::success());
+  };
+}
+
 void deliverWatchAnswer(const Json::Value &Answer,
                         const WatchCallback &OnEvent) {
   for (const Json::Value &Event : Answer["result"]["events"])
@@ -97,15 +106,15 @@
 
 void StoreClient::readKey(const std::string &Key, RangeCallback Callback) {
   Json::Value Body;
-  Body["key"] = etcd::encodeBase64(Key);
+  Body["key"] = encodeBase64(Key);
   range(Body, std::move(Callback));
 }
 
 void StoreClient::readPrefix(const std::string &Prefix,
                              RangeCallback Callback) {
   Json::Value Body;
-  Body["key"] = etcd::encodeBase64(Prefix);
-  Body["range_end"] = etcd::encodeBase64(etcd::prefixEnd(Prefix));
+  Body["key"] = encodeBase64(Prefix);
+  Body["range_end"] = encodeBase64(etcd::prefixEnd(Prefix));
   range(Body, std::move(Callback));
 }
 
@@ -122,6 +131,18 @@
        });
 }
 
+void StoreClient::put(const PutRequest &Request, DoneCallback Callback) {
+  ++Counters.Writes;
+  call("/v3/kv/put", etcd::putBody(Request), toDone(std::move(Callback)));
+}
+
+void StoreClient::endLease(LeaseId Lease, DoneCallback Callback) {
+  ++Counters.Writes;
+  Json::Value Body;
+  Body["ID"] = std::to_string(Lease);
+  call("/v3/lease/revoke", Body, toDone(std::move(Callback)));
+}
+
 void StoreClient::grantLease(std::chrono::seconds Ttl, LeaseCallback Callback) {
   ++Counters.Writes;
   Json::Value Body;
@@ -153,8 +174,8 @@
                    WatchEndCallback OnEnd) {
   ++Counters.Reads;
   Json::Value Create;
-  Create["key"] = etcd::encodeBase64(Request.Prefix);
-  Create["range_end"] = etcd::encodeBase64(etcd::prefixEnd(Request.Prefix));
+  Create["key"] = encodeBase64(Request.Prefix);
+  Create["range_end"] = encodeBase64(etcd::prefixEnd(Request.Prefix));
   if (Request.StartRevision > 0)
     Create["start_revision"] = std::to_string(Request.StartRevision);
   Json::Value Body;
--- a/testing/store_standin/src/StoreStandIn.cpp
+++ b/testing/store_standin/src/StoreStandIn.cpp
@@ -31,8 +31,8 @@
 
 Json::Value toJson(const store::KeyValue &Entry) {
   Json::Value Value;
-  Value["key"] = etcd::encodeBase64(Entry.Key);
-  Value["value"] = etcd::encodeBase64(Entry.Value);
+  Value["key"] = store::encodeBase64(Entry.Key);
+  Value["value"] = store::encodeBase64(Entry.Value);
   Value["mod_revision"] = std::to_string(Entry.ModRevision);
   return Value;
 }
@@ -164,8 +164,8 @@
 }
 
 Json::Value StoreStandIn::range(const Json::Value &Body) const {
-  const std::string Begin = etcd::decodeBase64(Body["key"].asString());
-  const std::string End = etcd::decodeBase64(Body["range_end"].asString());
+  const std::string Begin = store::decodeBase64(Body["key"].asString());
+  const std::string End = store::decodeBase64(Body["range_end"].asString());
   Json::Value Answer;
   Answer["header"] = header();
   Answer["kvs"] = Json::arrayValue;
@@ -177,9 +177,9 @@
 }
 
 Json::Value StoreStandIn::put(const Json::Value &Body) {
-  const std::string Key = etcd::decodeBase64(Body["key"].asString());
+  const std::string Key = store::decodeBase64(Body["key"].asString());
   Entry &Stored = Entries[Key];
-  Stored.Value = etcd::decodeBase64(Body["value"].asString());
+  Stored.Value = store::decodeBase64(Body["value"].asString());
   Stored.ModRevision = ++Current;
   Stored.Lease = etcd::toInteger(Body["lease"]);
   publish({false, {Key, Stored.Value, Stored.ModRevision}});
@@ -190,7 +190,7 @@
 
 bool StoreStandIn::compares(const Json::Value &Compare) const {
   const auto Found =
-      Entries.find(etcd::decodeBase64(Compare["key"].asString()));
+      Entries.find(store::decodeBase64(Compare["key"].asString()));
   const base::Revision Actual =
       Found == Entries.end() ? 0 : Found->second.ModRevision;
   return Compare["target"].asString() == "MOD" &&
--- a/testing/store_standin/src/StoreWatches.cpp
+++ b/testing/store_standin/src/StoreWatches.cpp
@@ -13,8 +13,8 @@
 std::string eventLine(bool Deleted, const store::KeyValue &Entry) {
   Json::Value Event;
   Event["type"] = Deleted ? "DELETE" : "PUT";
-  Event["kv"]["key"] = etcd::encodeBase64(Entry.Key);
-  Event["kv"]["value"] = etcd::encodeBase64(Entry.Value);
+  Event["kv"]["key"] = store::encodeBase64(Entry.Key);
+  Event["kv"]["value"] = store::encodeBase64(Entry.Value);
   Event["kv"]["mod_revision"] = std::to_string(Entry.ModRevision);
   Json::Value Answer;
   Answer["result"]["header"]["revision"] = std::to_string(Entry.ModRevision);
@@ -34,8 +34,9 @@
 void StoreStandIn::openWatch(const Json::Value &Body,
                              const std::shared_ptr<http::Responder> &Out) {
   const Json::Value &Create = Body["create_request"];
-  const Watcher Opened{etcd::decodeBase64(Create["key"].asString()),
-                       etcd::decodeBase64(Create["range_end"].asString()), Out};
+  const Watcher Opened{store::decodeBase64(Create["key"].asString()),
+                       store::decodeBase64(Create["range_end"].asString()),
+                       Out};
   Out->sendLine(createdLine(Current));
   const base::Revision Start = etcd::toInteger(Create["start_revision"]);
   for (const Change &Past : History)
