Searches carry headers only, statuses depend on the distance

Cause: after a restart of all machines every long flow is searched; each search carried the whole packet to all agents, which tried it at their targets. Ruled out: a shared flow directory (one more message for each flow). Change: a search is a header; the holder answers, packets are kept meanwhile; an agent that cannot know answers unsure and gets the packets to try; searches have a rate; a first heartbeat proves that the target holds no unknown flow; remote balancers get fewer statuses; downloads stay in their failure domain.

--- a/packages/flowd/include/burdockstream/flowd/WatchedPrefix.h
+++ b/packages/flowd/include/burdockstream/flowd/WatchedPrefix.h
@@ -27,6 +27,10 @@
 inline constexpr base::Duration ShortestRetry = std::chrono::milliseconds(250);
 inline constexpr base::Duration LongestRetry = std::chrono::milliseconds(1000);
 
+// Changes often come in series, and each answer of the store costs a call. The
+// bound for a change to be in force is some seconds.
+inline constexpr base::Duration EventPause = std::chrono::milliseconds(500);
+
 class WatchedPrefix {
 public:
   // Store must outlive the object.
--- a/packages/flowd/src/AgentShell.cpp
+++ b/packages/flowd/src/AgentShell.cpp
@@ -173,8 +173,11 @@
     if (const auto Hello = flows::unpackHello(Frame->Body))
       return Core.onHello(From, Frame->Header.Routes, *Hello, Now);
   } else if (Frame) {
-    if (const auto Packet =
-            Environment.Codec.Decode(Frame->Body, flows::Sender::Client))
+    const bool IsHeader = Frame->Header.Kind == flows::FrameKind::Search;
+    const auto Packet =
+        IsHeader ? Environment.Codec.DecodeHeader(Frame->Body)
+                 : Environment.Codec.Decode(Frame->Body, flows::Sender::Client);
+    if (Packet)
       return Core.onFrame(From, Frame->Header, *Packet, Now);
   }
   Registry.counter("malformed_frames").add();
--- a/packages/flowd/src/BalancerShell.cpp
+++ b/packages/flowd/src/BalancerShell.cpp
@@ -40,8 +40,9 @@
     : Settings(std::move(InitSettings)),
       Environment(std::move(InitEnvironment)), Log(InitLog),
       OnFinished(std::move(InitOnFinished)), Decisions(Log, Registry),
-      Core({Settings.FailureDomain, Settings.Control}, coreHooks(),
-           newRandomSource()),
+      Core({Settings.FailureDomain, Settings.Control,
+            Environment.Codec.HeaderBytes},
+           coreHooks(), newRandomSource()),
       Store(Environment.OpenStore(Settings.Store)),
       Server([this](const http::ServerRequest &Request,
                     const std::shared_ptr<http::Responder> &Out) {
@@ -120,7 +121,7 @@
   const base::TimePoint Now = readClocks().Monotonic;
   if (Event.Deleted) {
     if (const auto Agent = agentOfKey(Event.Entry.Key))
-      Core.unlistAgent(*Agent, Now);
+      Core.unlistAgent(*Agent);
     return;
   }
   const auto Entry = readEntry(Event.Entry.Key, Event.Entry.Value);
@@ -250,11 +251,11 @@
   State["routes"] = RoutesText;
   State["agents"] = Json::arrayValue;
   for (const auto &Each : Core.targets().all())
-    if (Each && Each->Heard) {
+    if (Each && Each->Heard && !Each->ServiceName.empty()) {
       Json::Value Entry;
       Entry["key"] = entryKey(Each->Agent);
       Entry["value"] =
-          entryValue({Each->Agent, Each->Status.Service, Each->FailureDomain});
+          entryValue({Each->Agent, Each->ServiceName, Each->FailureDomain});
       State["agents"].append(Entry);
     }
   return base::compactJson(State);
--- a/packages/flowd/src/FlowProcess.cpp
+++ b/packages/flowd/src/FlowProcess.cpp
@@ -17,6 +17,10 @@
 // The file may change without a signal, so its state is looked at this often.
 constexpr base::Duration SettingsPoll = std::chrono::seconds(1);
 
+// Enough to flush the send queues; a loop that never falls idle must not keep
+// the process from ending.
+constexpr int LastIterations = 20;
+
 // What changes when a file is written or replaced.
 struct FileState {
   ino_t Inode = 0;
@@ -65,8 +69,9 @@
     g_main_loop_run(Loop);
     // The last frames are in the send queue, which is flushed before the loop
     // waits.
-    while (g_main_context_iteration(nullptr, FALSE))
-      ;
+    for (int I = 0; I < LastIterations; ++I)
+      if (!g_main_context_iteration(nullptr, FALSE))
+        break;
     log("stopped", "role", std::string(toString(Settings.Role)));
     return EXIT_SUCCESS;
   }
--- a/packages/flowd/src/WatchedPrefix.cpp
+++ b/packages/flowd/src/WatchedPrefix.cpp
@@ -36,6 +36,7 @@
   store::WatchRequest Request;
   Request.Prefix = Prefix;
   Request.StartRevision = Reply.value().StoreRevision + 1;
+  Request.Pause = EventPause;
   Watch = Store.watch(
       Request,
       [this](const store::WatchEvent &Event) {
--- a/packages/flows/include/burdockstream/flows/FlowAgent.h
+++ b/packages/flows/include/burdockstream/flows/FlowAgent.h
@@ -72,15 +72,15 @@
 // A balancer that has not said hello for this long gets no more statuses.
 inline constexpr base::Duration BalancerLife = std::chrono::seconds(3);
 
-// Statuses: as often as this while the load changes, and at least once a
-// longest interval. With many balancers the interval grows, so that an agent
-// sends at most 250 a second.
-inline constexpr base::Duration ShortestStatusInterval =
+// Balancers of the same failure domain, which place most flows here, get a
+// status this soon after a change of the load; all get one at the longer
+// interval, because traffic between failure domains is expensive. With many
+// balancers both intervals grow, so that an agent sends at most 500 a second.
+inline constexpr base::Duration NearStatusInterval =
     std::chrono::milliseconds(50);
+inline constexpr base::Duration StatusInterval = std::chrono::milliseconds(250);
 inline constexpr base::Duration StatusTimePerBalancer =
     std::chrono::milliseconds(4);
-inline constexpr base::Duration LongestStatusInterval =
-    std::chrono::milliseconds(200);
 
 // Once routes of a higher revision are known for this long, an opening packet
 // of a balancer with older routes is sent back.
@@ -148,7 +148,9 @@
   struct Balancer {
     base::SocketAddress Address;
     base::TimePoint LastHello;
+    bool Near = false; // in the same failure domain
   };
+  enum class Audience : uint8_t { Near, All };
 
   void onOpening(base::SocketAddress From, const FrameHeader &Header,
                  const Packet &Packet, base::TimePoint Now);
@@ -156,7 +158,9 @@
   void onForward(base::SocketAddress From, const FrameHeader &Header,
                  const Packet &Packet, base::TimePoint Now);
   void onSearch(base::SocketAddress From, const FrameHeader &Header,
-                const Packet &Packet, base::TimePoint Now);
+                const Packet &Packet);
+  void onTry(base::SocketAddress From, const FrameHeader &Header,
+             const Packet &Packet);
   void deliver(base::SocketAddress From, const Packet &Packet, bool IsSearch);
   void noteRequest(FlowRecord &Record, const Packet &Packet,
                    base::TimePoint Now);
@@ -169,7 +173,8 @@
   void resetAll(base::TimePoint Now);
   void apply(internal::TargetEvent Event, std::string_view Cause,
              base::TimePoint Now);
-  void sendStatuses(base::TimePoint Now);
+  TargetStatus status(base::TimePoint Now);
+  void sendStatuses(base::TimePoint Now, Audience To);
   uint16_t balancerIndex(base::SocketAddress Address);
   void decide(DecisionKind Kind, ReturnReason Reason, const FlowKey &Flow,
               base::SocketAddress From, const FrameHeader &Header,
@@ -203,7 +208,7 @@
 
   uint64_t StatusSequence = 0;
   base::TimePoint NextStatus{};
-  base::TimePoint LastStatus{};
+  base::TimePoint NextNearStatus{};
   uint32_t SentWaiting = 0;
   uint32_t SentFlows = 0;
 };
--- a/packages/flows/include/burdockstream/flows/FlowBalancer.h
+++ b/packages/flows/include/burdockstream/flows/FlowBalancer.h
@@ -39,10 +39,11 @@
 struct BalancerIdentity {
   std::string FailureDomain;
   base::SocketAddress Control; // where peers can read the routes
+  size_t PacketHeaderBytes = 0;
 };
 
 // How often agents are told that this balancer exists.
-inline constexpr base::Duration HelloInterval = std::chrono::milliseconds(400);
+inline constexpr base::Duration HelloInterval = std::chrono::milliseconds(800);
 
 // A view of the agents counts as settled when it has not changed for this long;
 // only then the answers of all agents prove that a flow is not held.
@@ -52,6 +53,17 @@
 // packet of the flow starts another one.
 inline constexpr base::Duration SearchLife = std::chrono::milliseconds(1500);
 
+// Packets of a flow that are kept while its holder is looked for; the client
+// has at most 16 in flight, and sends the others again.
+inline constexpr size_t MaxKept = 4;
+
+// Load pattern: after a restart of all balancers every long flow is searched at
+// once. A search costs a frame for each agent of the service; more than this
+// many a second would hold up the frames of flows that are known. A client
+// whose packet is dropped here sends it again after 200 ms.
+inline constexpr double SearchFramesPerSecond = 6000;
+inline constexpr double SearchFrameBurst = 3000;
+
 // If the loop stood still for longer, the silence of agents proves nothing.
 inline constexpr base::Duration StallLimit = std::chrono::milliseconds(400);
 
@@ -73,7 +85,7 @@
   // Takes the store's list of agents, whole or one change of it.
   void setAgents(const std::vector<AgentEntry> &Entries, base::TimePoint Now);
   void listAgent(const AgentEntry &Entry, base::TimePoint Now);
-  void unlistAgent(base::SocketAddress Agent, base::TimePoint Now);
+  void unlistAgent(base::SocketAddress Agent);
 
   // Takes an agent that a peer knows. It stays in use if it answers.
   void suggestAgent(const AgentEntry &Entry, base::TimePoint Now);
@@ -100,6 +112,7 @@
   const RouteTable *routes() const { return Routes.get(); }
   const TargetTable &targets() const { return Targets; }
   size_t flows() const { return Flows.size(); }
+  uint64_t droppedSearches() const { return DroppedSearches; }
 
 private:
   struct FlowEntry {
@@ -114,17 +127,22 @@
     base::TimePoint Started;
     std::vector<TargetIndex> Open;
     uint32_t Acknowledged = 0; // newest of the client
+    // What the client sent meanwhile, for the agent that holds the flow.
+    std::vector<std::vector<uint8_t>> Kept;
   };
 
   void open(const Packet &Packet, base::TimePoint Now);
   void place(const Packet &Packet, const Route &Route, FlowEntry &Entry,
              base::TimePoint Now);
   std::vector<Candidate> candidates(base::ServiceId Service,
-                                    const FlowEntry &Entry,
+                                    const FlowEntry &Entry, double Distance,
                                     base::TimePoint Now);
-  void forward(const Packet &Packet, TargetIndex Index, const Route *Route,
-               FrameKind Kind);
+  void forward(const Packet &Packet, TargetIndex Index, const Route *Route);
   void search(const Packet &Packet, TargetIndex Excluded, base::TimePoint Now);
+  bool admitSearch(size_t Asked, base::TimePoint Now);
+  void ask(Search &Running, const Route &Route, TargetIndex Excluded,
+           const Packet &Packet, base::TimePoint Now);
+  void sendKept(const Search &Running, TargetIndex Index, FrameKind Kind);
   void finishSearch(const FlowKey &Flow, const Search &Done,
                     base::TimePoint Now);
   void onReturned(TargetIndex Agent, ReturnReason Reason, const Packet &Packet,
@@ -144,6 +162,9 @@
   TargetTable Targets;
   AgingMap<FlowEntry> Flows;
   std::unordered_map<FlowKey, Search> Searches;
+  double SearchFrames = SearchFrameBurst; // that may be sent now
+  base::TimePoint SearchFramesAt{};
+  uint64_t DroppedSearches = 0;
   bool StoreFresh = false;
   bool ListKnown = false;
   base::TimePoint LastListChange{};
--- a/packages/flows/include/burdockstream/flows/Frame.h
+++ b/packages/flows/include/burdockstream/flows/Frame.h
@@ -19,10 +19,12 @@
 
 enum class FrameKind : uint8_t {
   Forward = 1, // balancer to agent: deliver this packet
-  Search,      // balancer to agent: deliver it if your target holds the flow
+  Search,      // balancer to agent: does your target hold the flow (header)
+  Try,         // balancer to agent: deliver it, the target may hold the flow
   Returned,    // agent to balancer: the packet was not delivered, see Reason
   Held,        // agent to balancer: the target holds the flow
   NotHeld,     // agent to balancer: the target does not hold the flow
+  Unsure,      // agent to balancer: only the target knows, try the packet
   Hello,       // balancer to agent: send your status from now on
   Status,      // agent to balancer
 };
@@ -54,6 +56,7 @@
 struct Hello {
   base::SocketAddress Control; // where the balancer's routes can be read
   bool EntryMissing = false;   // the store answers, but lacks the agent's entry
+  std::string FailureDomain;
 };
 
 struct Frame {
--- a/packages/flows/include/burdockstream/flows/Placement.h
+++ b/packages/flows/include/burdockstream/flows/Placement.h
@@ -30,7 +30,9 @@
   uint32_t Waiting = 0;    // requests without an answer, as last reported
   uint32_t Unreported = 0; // flows placed there since the last report
   uint32_t Flows = 0;
-  bool Remote = false; // in another failure domain
+  // What sending the work to another failure domain costs, in requests in
+  // progress; 0 for a target in the balancer's own.
+  double Distance = 0;
   bool Warming = false;
 };
 
@@ -39,8 +41,9 @@
 inline constexpr double WorkPerFlow = 0.02;
 
 // Advantage that a remote target must have over a local one, in requests in
-// progress.
-inline constexpr double RemotePenalty = 0.75;
+// progress: a long answer costs many times more between failure domains.
+inline constexpr double RemoteDistance = 0.75;
+inline constexpr double RemoteDownloadDistance = 5;
 
 // A target that has just started takes this many times longer.
 inline constexpr double WarmupFactor = 1.6;
--- a/packages/flows/include/burdockstream/flows/TargetStatus.h
+++ b/packages/flows/include/burdockstream/flows/TargetStatus.h
@@ -26,7 +26,7 @@
 struct TargetStatus {
   uint64_t Incarnation = 0; // random number of the agent's run
   uint64_t Sequence = 0;    // rises with each status of a run
-  std::string Service;
+  base::ServiceId Service;
   std::string FailureDomain;
   TargetState State = TargetState::Unknown;
   uint32_t Slots = 0;
--- a/packages/flows/include/burdockstream/flows/TargetTable.h
+++ b/packages/flows/include/burdockstream/flows/TargetTable.h
@@ -32,6 +32,7 @@
 struct Target {
   base::SocketAddress Agent;
   base::ServiceId Service;
+  std::string ServiceName; // as listed; empty if the agent never was
   std::string FailureDomain;
   bool Listed = false;
   bool Heard = false;        // whether a status has arrived
@@ -42,7 +43,7 @@
 
 // An agent sends several statuses a second; without one for this long its
 // target gets no new flows.
-inline constexpr base::Duration StaleStatus = std::chrono::milliseconds(600);
+inline constexpr base::Duration StaleStatus = std::chrono::milliseconds(900);
 
 // Without a status for this long an agent counts as lost.
 inline constexpr base::Duration LostStatus = std::chrono::milliseconds(1500);
@@ -61,8 +62,8 @@
   // Takes the whole list of the store. Returns whether it differs.
   bool setList(const std::vector<AgentEntry> &Entries, base::TimePoint Now);
 
-  // Takes one change of the list.
-  void list(const AgentEntry &Entry, base::TimePoint Now);
+  // Takes one change of the list. Returns whether it is one.
+  bool list(const AgentEntry &Entry, base::TimePoint Now);
   void unlist(base::SocketAddress Agent);
 
   // Takes a status; one that is older than a known one is ignored. Returns the
@@ -91,7 +92,7 @@
 
 private:
   Target &add(base::SocketAddress Agent, base::TimePoint Now);
-  void setService(TargetIndex Index, const std::string &Service);
+  void setService(TargetIndex Index, base::ServiceId Service);
   void drop(TargetIndex Index);
 
   std::vector<std::unique_ptr<Target>> Targets; // an index is never reused
--- a/packages/flows/src/FlowAgent.cpp
+++ b/packages/flows/src/FlowAgent.cpp
@@ -28,6 +28,9 @@
   return TagMark | (Searched ? SearchBit : 0) | Sender;
 }
 
+// The number of a target's first heartbeat.
+constexpr uint64_t FirstHeartbeat = 1;
+
 // Weight of the newest request in the mean time that requests take.
 constexpr double ServiceTimeWeight = 0.1;
 
@@ -55,7 +58,9 @@
   if (Packet.Opens)
     return onOpening(From, Header, Packet, Now);
   if (Header.Kind == FrameKind::Search)
-    return onSearch(From, Header, Packet, Now);
+    return onSearch(From, Header, Packet);
+  if (Header.Kind == FrameKind::Try)
+    return onTry(From, Header, Packet);
   onForward(From, Header, Packet, Now);
 }
 
@@ -109,19 +114,26 @@
 }
 
 void FlowAgent::onSearch(base::SocketAddress From, const FrameHeader &Header,
-                         const Packet &Packet, base::TimePoint Now) {
-  FlowRecord *Record = Flows.use(Packet.Flow);
-  if (Record && State != TargetState::Stopped) {
-    noteRequest(*Record, Packet, Now);
-    deliver(From, Packet, true);
-    return answer(From, FrameKind::Held, ReturnReason::None, Packet.Bytes);
-  }
+                         const Packet &Packet) {
+  FrameKind Answer = FrameKind::Unsure;
   const bool Foreign =
       Header.Service != base::serviceIdOf(Options.Target.Service);
-  if (State == TargetState::Stopped || KnowsAllFlows || Foreign ||
-      NotHeld.use(Packet.Flow))
-    return answer(From, FrameKind::NotHeld, ReturnReason::None, Packet.Bytes);
-  // Only the target knows: it returns the packet if it does not hold the flow.
+  if (State == TargetState::Stopped)
+    Answer = FrameKind::NotHeld;
+  else if (Flows.use(Packet.Flow))
+    Answer = FrameKind::Held;
+  else if (KnowsAllFlows || Foreign || NotHeld.use(Packet.Flow))
+    Answer = FrameKind::NotHeld;
+  answer(From, Answer, ReturnReason::None, Packet.Bytes);
+}
+
+// Only the target knows: it returns the packet if it does not hold the flow.
+void FlowAgent::onTry(base::SocketAddress From, const FrameHeader &Header,
+                      const Packet &Packet) {
+  if (Flows.use(Packet.Flow) || State == TargetState::Stopped ||
+      NotHeld.use(Packet.Flow) ||
+      Header.Service != base::serviceIdOf(Options.Target.Service))
+    return onSearch(From, Header, Packet);
   Searched.insert(Packet.Flow) = balancerIndex(From);
   deliver(From, Packet, true);
 }
@@ -263,6 +275,10 @@
     KnowsAllFlows = true;
     apply(TargetEvent::Replace, "new_run", Now);
   }
+  // No earlier run of this agent can have opened flows at a target whose first
+  // heartbeat this is.
+  if (Beat.Sequence <= FirstHeartbeat)
+    KnowsAllFlows = true;
   LastBeat = Now;
   Slots = std::max(Beat.Slots, 1U);
   WarmUntil = Now + std::chrono::milliseconds(Beat.WarmupMs);
@@ -294,7 +310,7 @@
 
 void FlowAgent::beginLeaving(base::TimePoint Now) {
   LeavingItself = true;
-  sendStatuses(Now);
+  sendStatuses(Now, Audience::All);
 }
 
 void FlowAgent::apply(TargetEvent Event, std::string_view Cause,
@@ -305,7 +321,7 @@
   const TargetState Before = std::exchange(State, *Next);
   if (Hooks.OnState)
     Hooks.OnState(Before, State, Cause, Now - LastBeat);
-  sendStatuses(Now);
+  sendStatuses(Now, Audience::All);
 }
 
 void FlowAgent::tick(base::TimePoint Now) {
@@ -319,9 +335,11 @@
   std::erase_if(Balancers, [&](const Balancer &Each) {
     return Now - Each.LastHello > BalancerLife;
   });
-  if (Now >= NextStatus && (Waiting != SentWaiting || OpenFlows != SentFlows ||
-                            Now - LastStatus >= LongestStatusInterval))
-    sendStatuses(Now);
+  const bool Changed = Waiting != SentWaiting || OpenFlows != SentFlows;
+  if (Now >= NextStatus)
+    sendStatuses(Now, Audience::All);
+  else if (Changed && Now >= NextNearStatus)
+    sendStatuses(Now, Audience::Near);
   if (Now >= NextAging) {
     Flows.age([&](const FlowKey &, FlowRecord &Old) { stopCounting(Old); });
     NextAging = Now + FlowMemory;
@@ -342,7 +360,6 @@
     NewestRoutesAt = Hello.Control;
     NewestRoutesSince = Now;
     NextStatus = Now; // the other balancers learn of it at once
-    LastStatus = {};
   }
   const auto Known =
       std::find_if(Balancers.begin(), Balancers.end(),
@@ -351,44 +368,50 @@
     Known->LastHello = Now;
     return;
   }
-  Balancers.push_back({From, Now});
-  sendStatuses(Now);
+  Balancers.push_back(
+      {From, Now, Hello.FailureDomain == Options.FailureDomain});
+  sendStatuses(Now, Audience::All);
 }
 
-void FlowAgent::sendStatuses(base::TimePoint Now) {
+TargetStatus FlowAgent::status(base::TimePoint Now) {
   TargetStatus Status;
   Status.Incarnation = Options.Incarnation;
   Status.Sequence = ++StatusSequence;
-  Status.Service = Options.Target.Service;
+  Status.Service = base::serviceIdOf(Options.Target.Service);
   Status.FailureDomain = Options.FailureDomain;
   Status.State = LeavingItself ? TargetState::Leaving : State;
   Status.Slots = Slots;
   Status.Waiting = Waiting;
   Status.Flows = OpenFlows;
-  Status.WarmupMs =
-      WarmUntil > Now
-          ? static_cast<uint32_t>(
-                std::chrono::duration_cast<std::chrono::milliseconds>(
-                    WarmUntil - Now)
-                    .count())
-          : 0;
+  const auto Warm = std::chrono::duration_cast<std::chrono::milliseconds>(
+      std::max(WarmUntil - Now, base::Duration(0)));
+  Status.WarmupMs = static_cast<uint32_t>(Warm.count());
   Status.ServiceTimeUs = static_cast<uint32_t>(MeanServiceUs);
   Status.NewestRoutes = NewestRoutes;
   Status.NewestRoutesAt = NewestRoutesAt;
-  const auto Body = packStatus(Status);
+  return Status;
+}
+
+void FlowAgent::sendStatuses(base::TimePoint Now, Audience To) {
+  const auto Body = packStatus(status(Now));
+  FrameHeader Header;
+  Header.Kind = FrameKind::Status;
+  Header.Routes = NewestRoutes;
+  size_t Near = 0;
   for (const Balancer &Each : Balancers) {
-    FrameHeader Header;
-    Header.Kind = FrameKind::Status;
-    Header.Routes = NewestRoutes;
-    Hooks.SendFrame(Each.Address, Header, Body);
+    Near += Each.Near ? 1 : 0;
+    if (Each.Near || To == Audience::All)
+      Hooks.SendFrame(Each.Address, Header, Body);
   }
   SentWaiting = Waiting;
   SentFlows = OpenFlows;
-  LastStatus = Now;
-  NextStatus =
-      Now + std::max<base::Duration>(
-                ShortestStatusInterval,
-                StatusTimePerBalancer * static_cast<int64_t>(Balancers.size()));
+  const auto Interval = [](base::Duration Shortest, size_t Receivers) {
+    return std::max(Shortest, base::Duration(StatusTimePerBalancer *
+                                             static_cast<int64_t>(Receivers)));
+  };
+  NextNearStatus = Now + Interval(NearStatusInterval, Near);
+  if (To == Audience::All)
+    NextStatus = Now + Interval(StatusInterval, Balancers.size());
 }
 
 uint16_t FlowAgent::balancerIndex(base::SocketAddress Address) {
--- a/packages/flows/src/FlowBalancer.cpp
+++ b/packages/flows/src/FlowBalancer.cpp
@@ -5,6 +5,18 @@
 
 namespace burdockstream::flows {
 
+namespace {
+
+// Services whose targets may hold flows of Route.
+std::vector<base::ServiceId> servicesOf(const Route &Route) {
+  std::vector<base::ServiceId> Result = Route.Former;
+  for (const WeightedService &Each : Route.Services)
+    Result.push_back(Each.Service);
+  return Result;
+}
+
+} // namespace
+
 bool FlowBalancer::setRoutes(std::shared_ptr<const RouteTable> Table,
                              base::TimePoint Now) {
   if (Routes && Table->Revision <= Routes->Revision)
@@ -28,14 +40,14 @@
 }
 
 void FlowBalancer::listAgent(const AgentEntry &Entry, base::TimePoint Now) {
-  Targets.list(Entry, Now);
+  if (!Targets.list(Entry, Now))
+    return;
   LastListChange = Now;
   NextHello = Now;
 }
 
-void FlowBalancer::unlistAgent(base::SocketAddress Agent, base::TimePoint Now) {
+void FlowBalancer::unlistAgent(base::SocketAddress Agent) {
   Targets.unlist(Agent);
-  LastListChange = Now;
 }
 
 void FlowBalancer::suggestAgent(const AgentEntry &Entry, base::TimePoint Now) {
@@ -53,7 +65,7 @@
   const TargetIndex Index = Entry ? Entry->Target : NoTarget;
   const Target *Holder = Targets.at(Index);
   if (Holder)
-    forward(Packet, Index, nullptr, FrameKind::Forward);
+    forward(Packet, Index, nullptr);
   if (Packet.Aborts) {
     Flows.erase(Packet.Flow);
     return;
@@ -81,6 +93,7 @@
 
 std::vector<Candidate> FlowBalancer::candidates(base::ServiceId Service,
                                                 const FlowEntry &Entry,
+                                                double Distance,
                                                 base::TimePoint Now) {
   std::vector<Candidate> Result;
   const auto Offered = Entry.Offered.begin();
@@ -91,7 +104,7 @@
       continue;
     Result.push_back({Index, std::max(Each.Status.Slots, 1U),
                       Each.Status.Waiting, Each.Unreported, Each.Status.Flows,
-                      Each.FailureDomain != Self.FailureDomain,
+                      Each.FailureDomain == Self.FailureDomain ? 0 : Distance,
                       Each.Status.WarmupMs > 0});
   }
   return Result;
@@ -100,14 +113,18 @@
 void FlowBalancer::place(const Packet &Packet, const Route &Route,
                          FlowEntry &Entry, base::TimePoint Now) {
   const base::ServiceId Service = serviceOf(Route, Packet.Flow);
-  const auto Choices = candidates(Service, Entry, Now);
+  const auto Choices =
+      candidates(Service, Entry,
+                 Route.Class == WorkClass::Download ? RemoteDownloadDistance
+                                                    : RemoteDistance,
+                 Now);
   const auto Chosen =
       Entry.Offers < MaxOffers ? chooseTarget(Choices, Random) : std::nullopt;
   if (Chosen) {
     Entry.Target = *Chosen;
     Entry.Offered[Entry.Offers++] = *Chosen;
     ++Targets.at(*Chosen)->Unreported;
-    forward(Packet, *Chosen, &Route, FrameKind::Forward);
+    forward(Packet, *Chosen, &Route);
     return decide(Entry.Offers == 1 ? DecisionKind::Placed
                                     : DecisionKind::PlacedAgain,
                   Packet.Flow, *Chosen, Choices.size(), Now);
@@ -115,7 +132,7 @@
   // An offer without an answer may still succeed.
   if (Entry.Offers > Entry.Refusals) {
     if (Targets.at(Entry.Target))
-      forward(Packet, Entry.Target, &Route, FrameKind::Forward);
+      forward(Packet, Entry.Target, &Route);
     return;
   }
   if (!Entry.MayBeOpen && isSettled(Now))
@@ -127,10 +144,10 @@
 }
 
 void FlowBalancer::forward(const Packet &Packet, TargetIndex Index,
-                           const Route *Route, FrameKind Kind) {
+                           const Route *Route) {
   const Target &To = *Targets.at(Index);
   FrameHeader Header;
-  Header.Kind = Kind;
+  Header.Kind = FrameKind::Forward;
   Header.WorkClass =
       static_cast<uint8_t>(Route ? Route->Class : WorkClass::Other);
   Header.Service = Route ? serviceOf(*Route, Packet.Flow) : To.Service;
@@ -155,30 +172,69 @@
     Hooks.SendReset(Packet.Flow, Packet.Acknowledged);
     return decide(DecisionKind::RefusedNoRoute, Packet.Flow, NoTarget, 0, Now);
   }
-  const auto [Found, IsNew] = Searches.try_emplace(Packet.Flow);
-  Search &Running = Found->second;
-  if (IsNew) {
-    Running.Started = Now;
-    const auto Ask = [&](base::ServiceId Service) {
-      for (const TargetIndex Index : Targets.ofService(Service))
-        if (Index != Excluded)
-          Running.Open.push_back(Index);
-    };
-    for (const WeightedService &Each : Route->Services)
-      Ask(Each.Service);
-    for (const base::ServiceId Service : Route->Former)
-      Ask(Service);
-    decide(DecisionKind::Searched, Packet.Flow, Excluded, Running.Open.size(),
-           Now);
+  auto Found = Searches.find(Packet.Flow);
+  if (Found == Searches.end()) {
+    size_t Asked = 0;
+    for (const base::ServiceId Service : servicesOf(*Route))
+      Asked += Targets.ofService(Service).size();
+    if (!admitSearch(Asked, Now))
+      return;
+    Found = Searches.try_emplace(Packet.Flow).first;
+    ask(Found->second, *Route, Excluded, Packet, Now);
   }
+  Search &Running = Found->second;
   Running.Acknowledged = Packet.Acknowledged;
-  // A lost agent is asked too, but its answer is not waited for.
-  std::erase_if(Running.Open, [&](TargetIndex Index) {
-    const Target *Asked = Targets.at(Index);
-    if (Asked)
-      forward(Packet, Index, nullptr, FrameKind::Search);
-    return !Asked || isLost(*Asked, Now);
-  });
+  if (Running.Kept.size() < MaxKept)
+    Running.Kept.emplace_back(Packet.Bytes.begin(), Packet.Bytes.end());
+}
+
+bool FlowBalancer::admitSearch(size_t Asked, base::TimePoint Now) {
+  const std::chrono::duration<double> Elapsed = Now - SearchFramesAt;
+  SearchFramesAt = Now;
+  SearchFrames = std::min(
+      SearchFrameBurst, SearchFrames + Elapsed.count() * SearchFramesPerSecond);
+  if (SearchFrames < static_cast<double>(Asked)) {
+    ++DroppedSearches;
+    return false;
+  }
+  SearchFrames -= static_cast<double>(Asked);
+  return true;
+}
+
+// Asks all agents that may hold the flow. A lost agent is asked too, but its
+// answer is not waited for.
+void FlowBalancer::ask(Search &Running, const Route &Route,
+                       TargetIndex Excluded, const Packet &Packet,
+                       base::TimePoint Now) {
+  Running.Started = Now;
+  const size_t HeaderBytes =
+      std::min(Self.PacketHeaderBytes, Packet.Bytes.size());
+  FrameHeader Header;
+  Header.Kind = FrameKind::Search;
+  Header.Routes = Routes->Revision;
+  for (const base::ServiceId Service : servicesOf(Route))
+    for (const TargetIndex Index : Targets.ofService(Service)) {
+      if (Index == Excluded)
+        continue;
+      const Target &Asked = *Targets.at(Index);
+      Header.Service = Service;
+      Hooks.SendFrame(Asked.Agent, Header, Packet.Bytes.first(HeaderBytes));
+      if (!isLost(Asked, Now))
+        Running.Open.push_back(Index);
+    }
+  decide(DecisionKind::Searched, Packet.Flow, Excluded, Running.Open.size(),
+         Now);
+}
+
+void FlowBalancer::sendKept(const Search &Running, TargetIndex Index,
+                            FrameKind Kind) {
+  const Target &To = *Targets.at(Index);
+  FrameHeader Header;
+  Header.Kind = Kind;
+  Header.Service = To.Service;
+  Header.Routes = Routes ? Routes->Revision : 0;
+  for (const auto &Bytes : Running.Kept)
+    Hooks.SendFrame(To.Agent, Header, Bytes);
 }
 
 void FlowBalancer::finishSearch(const FlowKey &Flow, const Search &Done,
@@ -204,6 +260,10 @@
     return onHeld(Index, Packet.Flow, Now);
   case FrameKind::NotHeld:
     return onNotHeld(Index, Packet, Now);
+  case FrameKind::Unsure:
+    if (const auto Found = Searches.find(Packet.Flow); Found != Searches.end())
+      sendKept(Found->second, Index, FrameKind::Try);
+    return;
   default:
     return;
   }
@@ -214,7 +274,7 @@
   FlowEntry *Entry = Flows.use(Packet.Flow);
   if (!Packet.Opens) {
     if (Entry && Entry->Target != Agent && Targets.at(Entry->Target))
-      return forward(Packet, Entry->Target, nullptr, FrameKind::Forward);
+      return forward(Packet, Entry->Target, nullptr);
     if (Entry)
       Flows.erase(Packet.Flow);
     return search(Packet, Agent, Now);
@@ -233,8 +293,12 @@
 void FlowBalancer::onHeld(TargetIndex Agent, const FlowKey &Flow,
                           base::TimePoint Now) {
   Flows.insert(Flow).Target = Agent;
-  if (Searches.erase(Flow) > 0)
-    decide(DecisionKind::Found, Flow, Agent, 0, Now);
+  const auto Found = Searches.find(Flow);
+  if (Found == Searches.end())
+    return;
+  sendKept(Found->second, Agent, FrameKind::Forward);
+  Searches.erase(Found);
+  decide(DecisionKind::Found, Flow, Agent, 0, Now);
 }
 
 void FlowBalancer::onNotHeld(TargetIndex Agent, const Packet &Packet,
@@ -279,8 +343,9 @@
   FrameHeader Header;
   Header.Kind = FrameKind::Hello;
   Header.Routes = Routes ? Routes->Revision : 0;
-  const auto Listed = packHello({Self.Control, false});
-  const auto Missing = packHello({Self.Control, isSettled(Now)});
+  const auto Listed = packHello({Self.Control, false, Self.FailureDomain});
+  const auto Missing =
+      packHello({Self.Control, isSettled(Now), Self.FailureDomain});
   for (const auto &Each : Targets.all())
     if (Each)
       Hooks.SendFrame(Each->Agent, Header, Each->Listed ? Listed : Missing);
--- a/packages/flows/src/Frame.cpp
+++ b/packages/flows/src/Frame.cpp
@@ -43,10 +43,11 @@
   return Value;
 }
 
+// Control address, whether the entry is missing; the failure domain follows.
 constexpr size_t HelloBytes = 9;
 
 // The layout of a status on the wire: an array, so that its order is fixed.
-using StatusFields = std::tuple<uint64_t, uint64_t, std::string, std::string,
+using StatusFields = std::tuple<uint64_t, uint64_t, base::ServiceId, std::string,
                                 uint8_t, uint32_t, uint32_t, uint32_t, uint32_t,
                                 uint32_t, int64_t, base::SocketAddress>;
 
@@ -84,19 +85,22 @@
 }
 
 std::vector<uint8_t> packHello(const Hello &Hello) {
-  std::vector<uint8_t> Body(HelloBytes);
+  std::vector<uint8_t> Body(HelloBytes + Hello.FailureDomain.size());
   writeInteger(base::packAddress(Hello.Control), Body, 0);
   Body[8] = Hello.EntryMissing ? 1 : 0;
+  std::copy(Hello.FailureDomain.begin(), Hello.FailureDomain.end(),
+            Body.begin() + HelloBytes);
   return Body;
 }
 
 std::optional<Hello> unpackHello(std::span<const uint8_t> Body) {
-  if (Body.size() != HelloBytes)
+  if (Body.size() < HelloBytes)
     return std::nullopt;
   const uint64_t Packed = readInteger(Body, 0);
   return Hello{
       {static_cast<uint32_t>(Packed >> 16), static_cast<uint16_t>(Packed)},
-      Body[8] != 0};
+      Body[8] != 0,
+      {Body.begin() + HelloBytes, Body.end()}};
 }
 
 std::vector<uint8_t> packStatus(const TargetStatus &Status) {
--- a/packages/flows/src/Placement.cpp
+++ b/packages/flows/src/Placement.cpp
@@ -6,9 +6,7 @@
   double Work = Choice.Waiting + Choice.Unreported + WorkPerFlow * Choice.Flows;
   if (Choice.Warming)
     Work = (Work + 1) * WarmupFactor;
-  if (Choice.Remote)
-    Work += RemotePenalty;
-  return Work / Choice.Slots;
+  return (Work + Choice.Distance) / Choice.Slots;
 }
 
 std::optional<uint32_t> chooseTarget(std::span<const Candidate> Choices,
--- a/packages/flows/src/TargetTable.cpp
+++ b/packages/flows/src/TargetTable.cpp
@@ -11,9 +11,7 @@
   bool Changed = false;
   for (const AgentEntry &Entry : Entries) {
     Present.insert(Entry.Agent);
-    const Target *Known = at(indexOf(Entry.Agent));
-    Changed = Changed || !Known || !Known->Listed;
-    list(Entry, Now);
+    Changed = list(Entry, Now) || Changed;
   }
   for (const auto &Known : Targets)
     if (Known && Known->Listed && Present.count(Known->Agent) == 0) {
@@ -23,13 +21,17 @@
   return Changed;
 }
 
-void TargetTable::list(const AgentEntry &Entry, base::TimePoint Now) {
-  Target &Listed = add(Entry.Agent, Now);
-  Listed.Listed = true;
-  if (Listed.Heard)
-    return; // the agent itself has said more than its entry
-  Listed.FailureDomain = Entry.FailureDomain;
-  setService(indexOf(Entry.Agent), Entry.Service);
+bool TargetTable::list(const AgentEntry &Entry, base::TimePoint Now) {
+  const bool IsNew = indexOf(Entry.Agent) == NoTarget;
+  Target &Known = add(Entry.Agent, Now);
+  const bool Changed = IsNew || Known.ServiceName != Entry.Service;
+  Known.Listed = true;
+  Known.ServiceName = Entry.Service;
+  if (Known.Heard)
+    return Changed; // the agent itself has said more than its entry
+  Known.FailureDomain = Entry.FailureDomain;
+  setService(indexOf(Entry.Agent), base::serviceIdOf(Entry.Service));
+  return Changed;
 }
 
 void TargetTable::unlist(base::SocketAddress Agent) {
@@ -87,14 +89,13 @@
   return *Targets.back();
 }
 
-void TargetTable::setService(TargetIndex Index, const std::string &Service) {
-  const base::ServiceId Id = base::serviceIdOf(Service);
+void TargetTable::setService(TargetIndex Index, base::ServiceId Service) {
   Target &Known = *Targets[Index];
-  if (Known.Service == Id)
+  if (Known.Service == Service)
     return;
   std::erase(ByService[Known.Service], Index);
-  ByService[Id].push_back(Index);
-  Known.Service = Id;
+  ByService[Service].push_back(Index);
+  Known.Service = Service;
 }
 
 void TargetTable::drop(TargetIndex Index) {
@@ -109,8 +110,9 @@
 }
 
 bool isLost(const Target &Target, base::TimePoint Now) {
+  // An agent that was never heard may be about to start.
   const bool Restarts =
-      Target.Heard && Target.Status.State == TargetState::Leaving;
+      !Target.Heard || Target.Status.State == TargetState::Leaving;
   return Now - Target.LastHeard > (Restarts ? RestartTime : LostStatus);
 }
 
--- a/packages/store/include/burdockstream/store/Store.h
+++ b/packages/store/include/burdockstream/store/Store.h
@@ -52,6 +52,9 @@
 struct WatchRequest {
   std::string Prefix;
   base::Revision StartRevision = 0; // 0: from now on
+  // Events of this time after an event may come together, where the store
+  // charges for each answer.
+  base::Duration Pause{0};
 };
 
 using RangeCallback = std::function<void(base::Result<RangeReply>)>;
