Do not search targets that have ended

Cause: each agent that leaves for good blocked the searches of its service until it counted as lost; with a release in progress that was always. Ruled out: slow agents (a search's open agents were all departed ones, logged as search_expired). Change: a target whose process has ended is not asked; an agent that was never heard is lost after 1.5 s; the HTTP client looks for no proxy.

--- a/packages/flows/include/burdockstream/flows/FlowBalancer.h
+++ b/packages/flows/include/burdockstream/flows/FlowBalancer.h
@@ -49,6 +49,10 @@
 // only then the answers of all agents prove that a flow is not held.
 inline constexpr base::Duration SettleTime = std::chrono::seconds(1);
 
+// The first list is complete, but for agents that register just then.
+inline constexpr base::Duration FirstSettleTime =
+    std::chrono::milliseconds(300);
+
 // Time in which agents answer a search; later it is forgotten, and the next
 // packet of the flow starts another one.
 inline constexpr base::Duration SearchLife = std::chrono::milliseconds(1500);
--- a/packages/flows/include/burdockstream/flows/FlowDecision.h
+++ b/packages/flows/include/burdockstream/flows/FlowDecision.h
@@ -25,11 +25,12 @@
   Found,           // an agent answered that its target holds the flow
   ResetUnheld,     // reset: every agent answered that it does not hold the flow
   ResetLost,       // reset: the target that held the flow has lost it
+  SearchExpired,   // some agents, Target among them, have not answered
   Unsettled,       // nobody holds the flow, but the view of agents may be old
   Delivered,       // an opening packet was given to the target
   NotDelivered,    // an opening packet was sent back, see Reason
 };
-inline constexpr size_t DecisionKinds = 12;
+inline constexpr size_t DecisionKinds = 13;
 
 // Returns the name used in logs and metrics. Thread safety: any thread.
 std::string_view toString(DecisionKind Kind);
--- a/packages/flows/include/burdockstream/flows/TargetTable.h
+++ b/packages/flows/include/burdockstream/flows/TargetTable.h
@@ -52,6 +52,10 @@
 // platform's grace period and a start.
 inline constexpr base::Duration RestartTime = std::chrono::seconds(9);
 
+// A listed agent that was never heard counts as lost after this: it may be
+// starting, which takes less than a second.
+inline constexpr base::Duration NeverHeard = std::chrono::milliseconds(1500);
+
 // A status that is not followed by another for this long, from an agent that is
 // not listed, is forgotten.
 inline constexpr base::Duration UnlistedLife = std::chrono::seconds(3);
--- a/packages/flows/src/FlowAgent.cpp
+++ b/packages/flows/src/FlowAgent.cpp
@@ -379,7 +379,9 @@
   Status.Sequence = ++StatusSequence;
   Status.Service = base::serviceIdOf(Options.Target.Service);
   Status.FailureDomain = Options.FailureDomain;
-  Status.State = LeavingItself ? TargetState::Leaving : State;
+  Status.State = LeavingItself && State != TargetState::Stopped
+                     ? TargetState::Leaving
+                     : State;
   Status.Slots = Slots;
   Status.Waiting = Waiting;
   Status.Flows = OpenFlows;
--- a/packages/flows/src/FlowBalancer.cpp
+++ b/packages/flows/src/FlowBalancer.cpp
@@ -33,9 +33,9 @@
 
 void FlowBalancer::setAgents(const std::vector<AgentEntry> &Entries,
                              base::TimePoint Now) {
-  ListKnown = true;
+  const bool First = !std::exchange(ListKnown, true);
   if (Targets.setList(Entries, Now))
-    LastListChange = Now;
+    LastListChange = First ? Now - SettleTime + FirstSettleTime : Now;
   NextHello = Now;
 }
 
@@ -217,6 +217,9 @@
       if (Index == Excluded)
         continue;
       const Target &Asked = *Targets.at(Index);
+      // The flows of a process that has ended are gone with it.
+      if (Asked.Heard && Asked.Status.State == TargetState::Stopped)
+        continue;
       Header.Service = Service;
       Hooks.SendFrame(Asked.Agent, Header, Packet.Bytes.first(HeaderBytes));
       if (!isLost(Asked, Now))
@@ -328,7 +331,13 @@
   LastTick = Now;
   Targets.expire(Now);
   std::erase_if(Searches, [&](const auto &Each) {
-    return Now - Each.second.Started > SearchLife;
+    const Search &Running = Each.second;
+    if (Now - Running.Started <= SearchLife)
+      return false;
+    decide(DecisionKind::SearchExpired, Each.first,
+           Running.Open.empty() ? NoTarget : Running.Open.front(),
+           Running.Open.size(), Now);
+    return true;
   });
   if (Now >= NextHello)
     sendHellos(Now);
--- a/packages/flows/src/FlowDecision.cpp
+++ b/packages/flows/src/FlowDecision.cpp
@@ -16,6 +16,7 @@
     {DecisionKind::Found, "found"},
     {DecisionKind::ResetUnheld, "reset_unheld"},
     {DecisionKind::ResetLost, "reset_lost"},
+    {DecisionKind::SearchExpired, "search_expired"},
     {DecisionKind::Unsettled, "unsettled"},
     {DecisionKind::Delivered, "delivered"},
     {DecisionKind::NotDelivered, "not_delivered"},
--- a/packages/flows/src/Frame.cpp
+++ b/packages/flows/src/Frame.cpp
@@ -47,9 +47,10 @@
 constexpr size_t HelloBytes = 9;
 
 // The layout of a status on the wire: an array, so that its order is fixed.
-using StatusFields = std::tuple<uint64_t, uint64_t, base::ServiceId, std::string,
-                                uint8_t, uint32_t, uint32_t, uint32_t, uint32_t,
-                                uint32_t, int64_t, base::SocketAddress>;
+using StatusFields =
+    std::tuple<uint64_t, uint64_t, base::ServiceId, std::string, uint8_t,
+               uint32_t, uint32_t, uint32_t, uint32_t, uint32_t, int64_t,
+               base::SocketAddress>;
 
 } // namespace
 
--- a/packages/flows/src/TargetTable.cpp
+++ b/packages/flows/src/TargetTable.cpp
@@ -110,10 +110,11 @@
 }
 
 bool isLost(const Target &Target, base::TimePoint Now) {
-  // An agent that was never heard may be about to start.
-  const bool Restarts =
-      !Target.Heard || Target.Status.State == TargetState::Leaving;
-  return Now - Target.LastHeard > (Restarts ? RestartTime : LostStatus);
+  const base::Duration Silence = Now - Target.LastHeard;
+  if (!Target.Heard)
+    return Silence > NeverHeard;
+  return Silence > (Target.Status.State == TargetState::Leaving ? RestartTime
+                                                                : LostStatus);
 }
 
 } // namespace burdockstream::flows
--- a/packages/http/src/HttpClient.cpp
+++ b/packages/http/src/HttpClient.cpp
@@ -79,9 +79,12 @@
 } // namespace
 
 HttpClient::HttpClient()
+    // Daemons and stores are reached by IP address; looking for a proxy would
+    // load the desktop's settings.
     : Session(soup_session_new_with_options(
-          "max-conns-per-host", MaxConnectionsPerHost, "max-conns",
-          4 * MaxConnectionsPerHost, nullptr)) {}
+          "proxy-resolver", nullptr, "max-conns-per-host",
+          MaxConnectionsPerHost, "max-conns", 4 * MaxConnectionsPerHost,
+          nullptr)) {}
 
 HttpClient::~HttpClient() {
   soup_session_abort(Session);
