--- /dev/null
+++ b/packages/flowd/test/FlowSettingsTest.cpp
@@ -0,0 +1,78 @@
+#include "burdockstream/flowd/FlowSettings.h"
+#include "burdockstream/base/JsonText.h"
+#include "burdockstream/flowd/AgentEntries.h"
+
+#include <gtest/gtest.h>
+#include <string>
+
+namespace burdockstream::flowd {
+namespace {
+
+std::string example(const std::string &Name) {
+  return base::readTextFile("examples/flows/" + Name).value();
+}
+
+std::string replaced(std::string Text, const std::string &From,
+                     const std::string &To) {
+  const size_t At = Text.find(From);
+  EXPECT_NE(At, std::string::npos) << From;
+  return Text.replace(At, From.size(), To);
+}
+
+TEST(FlowSettingsTest, ReadsTheExamples) {
+  const auto Balancer = parseFlowSettings(example("balancer.json"), "b");
+  ASSERT_TRUE(Balancer.has_value()) << Balancer.error().Message;
+  EXPECT_EQ(Balancer.value().Role, FlowRole::Balancer);
+  EXPECT_TRUE(Balancer.value().Ready.has_value());
+  const auto Agent = parseFlowSettings(example("agent.json"), "a");
+  ASSERT_TRUE(Agent.has_value()) << Agent.error().Message;
+  EXPECT_EQ(Agent.value().Agent->Service, "shopdesk");
+  EXPECT_EQ(Agent.value().Agent->HeartbeatInterval,
+            std::chrono::milliseconds(1200));
+}
+
+// Guards against a daemon that starts with settings that somebody mistyped.
+TEST(FlowSettingsTest, RefusesWhatIsWrongWithItsLine) {
+  const std::string Agent = example("agent.json");
+  const auto problem = [](const std::string &Text) {
+    const auto Read = parseFlowSettings(Text, "agent.json");
+    return Read.has_error() ? Read.error().Message : "accepted";
+  };
+  EXPECT_NE(
+      problem(replaced(Agent, "\"role\": \"agent\"", "\"role\": \"agnet\""))
+          .find("balancer or agent"),
+      std::string::npos);
+  EXPECT_NE(
+      problem(replaced(Agent, "\"service\"", "\"servce\"")).find("servce"),
+      std::string::npos);
+  EXPECT_NE(problem(replaced(Agent, "1200", "0")).find("heartbeat_interval_ms"),
+            std::string::npos);
+  EXPECT_NE(
+      problem(replaced(Agent, "\"role\": \"agent\"", "\"role\": \"balancer\""))
+          .find("a balancer has no target"),
+      std::string::npos);
+  EXPECT_EQ(problem(Agent), "accepted");
+}
+
+TEST(AgentEntriesTest, ReadsWhatItWrites) {
+  const flows::AgentEntry Entry{{0x0A010203, 7000}, "shopdesk", "bc-kam"};
+  const auto Read = readEntry(entryKey(Entry.Agent), entryValue(Entry));
+  ASSERT_TRUE(Read.has_value());
+  EXPECT_EQ(Read.value(), Entry);
+}
+
+// Guards against an entry of another writer that makes a balancer crash or use
+// a wrong address.
+TEST(AgentEntriesTest, RefusesForeignEntries) {
+  const std::string Key = entryKey({0x0A010203, 7000});
+  for (const char *Value : {"", "[]", "{", "{}", R"({"service":7})",
+                            R"({"service":"a","failure_domain":null})"})
+    EXPECT_TRUE(readEntry(Key, Value).has_error()) << Value;
+  EXPECT_TRUE(readEntry("burdockstream/agents/x",
+                        R"({"service":"a","failure_domain":"b"})")
+                  .has_error());
+  EXPECT_FALSE(agentOfKey("other/10.1.2.3:1").has_value());
+}
+
+} // namespace
+} // namespace burdockstream::flowd
--- /dev/null
+++ b/packages/flows/test/FrameTest.cpp
@@ -0,0 +1,65 @@
+#include "burdockstream/flows/Frame.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+namespace burdockstream::flows {
+namespace {
+
+TEST(FrameTest, CarriesAHeaderAndABody) {
+  std::vector<uint8_t> Bytes(FrameHeaderBytes + 3, 7);
+  FrameHeader Header;
+  Header.Kind = FrameKind::Returned;
+  Header.Reason = ReturnReason::OldRoutes;
+  Header.WorkClass = 2;
+  Header.Service = base::serviceIdOf("shopdesk");
+  Header.Routes = -3;
+  writeHeader(Header, Bytes);
+  const auto Read = readFrame(Bytes);
+  ASSERT_TRUE(Read.has_value());
+  EXPECT_EQ(Read->Header.Kind, Header.Kind);
+  EXPECT_EQ(Read->Header.Reason, Header.Reason);
+  EXPECT_EQ(Read->Header.WorkClass, Header.WorkClass);
+  EXPECT_EQ(Read->Header.Service, Header.Service);
+  EXPECT_EQ(Read->Header.Routes, Header.Routes);
+  EXPECT_EQ(Read->Body.size(), 3U);
+}
+
+TEST(FrameTest, CarriesAStatus) {
+  TargetStatus Status;
+  Status.Incarnation = 1ULL << 63;
+  Status.Sequence = 5;
+  Status.Service = base::serviceIdOf("shopdesk");
+  Status.FailureDomain = "bc-kam";
+  Status.State = TargetState::Leaving;
+  Status.Waiting = 9;
+  Status.NewestRoutes = 77;
+  Status.NewestRoutesAt = {0x0A010203, 7000};
+  const auto Read = unpackStatus(packStatus(Status));
+  ASSERT_TRUE(Read.has_value());
+  EXPECT_EQ(Read->Incarnation, Status.Incarnation);
+  EXPECT_EQ(Read->FailureDomain, Status.FailureDomain);
+  EXPECT_EQ(Read->State, Status.State);
+  EXPECT_EQ(Read->Waiting, Status.Waiting);
+  EXPECT_EQ(Read->NewestRoutesAt, Status.NewestRoutesAt);
+}
+
+TEST(FrameTest, CarriesAHello) {
+  const auto Read = unpackHello(packHello({{0x0A010203, 7000}, true, "thun"}));
+  ASSERT_TRUE(Read.has_value());
+  EXPECT_EQ(Read->Control, (base::SocketAddress{0x0A010203, 7000}));
+  EXPECT_TRUE(Read->EntryMissing);
+  EXPECT_EQ(Read->FailureDomain, "thun");
+}
+
+// Guards against a crash by datagrams of other programs.
+RC_GTEST_PROP(FrameTest, AnyBytesAreReadOrRefused,
+              (std::vector<uint8_t> Bytes)) {
+  if (const auto Read = readFrame(Bytes))
+    RC_ASSERT(Read->Body.size() + FrameHeaderBytes == Bytes.size());
+  unpackStatus(Bytes);
+  unpackHello(Bytes);
+}
+
+} // namespace
+} // namespace burdockstream::flows
--- a/packages/http/include/burdockstream/http/HttpServer.h
+++ b/packages/http/include/burdockstream/http/HttpServer.h
@@ -7,6 +7,7 @@
 #include "burdockstream/base/SocketAddress.h"
 
 #include <functional>
+#include <map>
 #include <memory>
 #include <string>
 #include <vector>
@@ -24,6 +25,7 @@
   std::string Authorization; // value of the Authorization header, may be empty
   std::string
       Signature; // value of the X-Burdockstream-Signature header, may be empty
+  std::map<std::string, std::string> Query;
 };
 
 struct ServerAnswer {
--- a/packages/http/src/HttpServer.cpp
+++ b/packages/http/src/HttpServer.cpp
@@ -97,13 +97,27 @@
   return Body;
 }
 
+std::map<std::string, std::string> queryOf(GHashTable *Query) {
+  std::map<std::string, std::string> Result;
+  if (!Query)
+    return Result;
+  GHashTableIter Position;
+  gpointer Name = nullptr;
+  gpointer Value = nullptr;
+  g_hash_table_iter_init(&Position, Query);
+  while (g_hash_table_iter_next(&Position, &Name, &Value))
+    Result[static_cast<const char *>(Name)] =
+        Value ? static_cast<const char *>(Value) : "";
+  return Result;
+}
+
 void onRequest(SoupServer *, SoupServerMessage *Message, const char *Path,
-               GHashTable *, gpointer Data) {
+               GHashTable *Query, gpointer Data) {
   const auto &Handle = *static_cast<Handler *>(Data);
   const ServerRequest Request{
       soup_server_message_get_method(Message), Path, requestBody(Message),
       headerValue(Message, "Authorization"),
-      headerValue(Message, "X-Burdockstream-Signature")};
+      headerValue(Message, "X-Burdockstream-Signature"), queryOf(Query)};
   soup_server_message_pause(Message);
   Handle(Request, std::make_shared<SoupResponder>(Message));
 }
--- /dev/null
+++ b/testing/platform_standin/include/burdockstream/testing/PlatformStoreStandIn.h
@@ -0,0 +1,113 @@
+// A stand-in of the platform's metadata store, written from its published
+// protocol: items, ranges, watches, transactions and leases over HTTP, and the
+// ways in which the store fails.
+#ifndef BURDOCKSTREAM_TESTING_PLATFORMSTORESTANDIN_H
+#define BURDOCKSTREAM_TESTING_PLATFORMSTORESTANDIN_H
+
+#include "burdockstream/base/Error.h"
+#include "burdockstream/base/SocketAddress.h"
+#include "burdockstream/http/HttpServer.h"
+
+#include <cstdint>
+#include <glib.h>
+#include <json/value.h>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace burdockstream::testing {
+
+enum class StoreFault : uint8_t {
+  None,
+  Busy,       // 503, nothing is done
+  Many,       // 429
+  Reset,      // connections are closed without an answer
+  Silent,     // no answer comes
+  LostAnswer, // writes are done, but not answered
+};
+
+// Thread safety, for all methods: loop thread only.
+class PlatformStoreStandIn {
+public:
+  PlatformStoreStandIn();
+  ~PlatformStoreStandIn();
+  PlatformStoreStandIn(const PlatformStoreStandIn &) = delete;
+  PlatformStoreStandIn &operator=(const PlatformStoreStandIn &) = delete;
+
+  base::Result<void> listen(base::SocketAddress Address);
+
+  // Writes as the operator does.
+  int64_t put(const std::string &Key, const std::string &Value);
+  // Removes all keys with Prefix without any request showing it.
+  void revoke(const std::string &Prefix);
+  // Drops the history, so that watches from before end with 410.
+  void compact();
+  // Ends all leases now.
+  void lapse();
+
+  void setFault(StoreFault Kind);
+
+  bool has(const std::string &Key) const { return Items.count(Key) != 0; }
+  std::string value(const std::string &Key) const;
+  uint64_t calls(const std::string &Path) const;
+
+private:
+  struct Item {
+    std::string Value;
+    int64_t Revision = 0;
+    int64_t Created = 0;
+    int64_t Lease = 0;
+  };
+  struct Event {
+    std::string Key;
+    int64_t Revision = 0;
+    bool Deleted = false;
+  };
+  struct Lease {
+    int64_t TtlMs = 0;
+    int64_t EndsAtMs = 0;
+  };
+  struct Watcher {
+    std::string Prefix;
+    int64_t After = 0;
+    int64_t EndsAtMs = 0;
+    std::shared_ptr<http::Responder> Out;
+  };
+
+  void onRequest(const http::ServerRequest &Request,
+                 const std::shared_ptr<http::Responder> &Out);
+  bool fails(const http::ServerRequest &Request,
+             const std::shared_ptr<http::Responder> &Out);
+  http::ServerAnswer readKey(const std::string &Key) const;
+  http::ServerAnswer readRange(const std::string &Prefix,
+                               const std::string &After) const;
+  http::ServerAnswer transact(const std::string &Body);
+  http::ServerAnswer grant(const std::string &Body);
+  http::ServerAnswer keep(int64_t Id);
+  http::ServerAnswer end(int64_t Id);
+  void write(const std::string &Key, const std::string &Value, int64_t Lease);
+  void erase(const std::string &Key);
+  void endLease(int64_t Id);
+  Json::Value toJson(const std::string &Key, const Item &Value) const;
+  bool answerWatch(const Watcher &Waiting) const;
+  void serveWatches();
+  void tick();
+
+  http::HttpServer Server;
+  std::map<std::string, Item> Items;
+  std::map<int64_t, Lease> Leases;
+  std::vector<Event> History;
+  std::vector<Watcher> Watchers;
+  std::vector<std::shared_ptr<http::Responder>> Unanswered;
+  std::map<std::string, uint64_t> Calls;
+  StoreFault Fault = StoreFault::None;
+  int64_t Revision = 10;
+  int64_t Compacted = 0; // history up to here is gone
+  int64_t NextLease = 100;
+  guint Timer = 0;
+};
+
+} // namespace burdockstream::testing
+
+#endif
--- /dev/null
+++ b/testing/platform_standin/src/PlatformStoreStandIn.cpp
@@ -0,0 +1,346 @@
+#include "burdockstream/testing/PlatformStoreStandIn.h"
+
+#include "burdockstream/base/JsonText.h"
+#include "burdockstream/store/Base64.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace burdockstream::testing {
+
+namespace {
+
+constexpr guint TickMs = 20;
+constexpr size_t PageItems = 50; // small, so that tests see several pages
+
+int64_t nowMs() { return g_get_monotonic_time() / 1000; }
+
+http::ServerAnswer answer(unsigned Status, const Json::Value &Body) {
+  return {Status, "application/json", base::compactJson(Body)};
+}
+
+http::ServerAnswer empty(unsigned Status) {
+  return answer(Status, Json::Value(Json::objectValue));
+}
+
+std::string parameter(const http::ServerRequest &Request, const char *Name) {
+  const auto Found = Request.Query.find(Name);
+  return Found == Request.Query.end() ? "" : Found->second;
+}
+
+int64_t number(const std::string &Text) {
+  return Text.empty() ? 0 : g_ascii_strtoll(Text.c_str(), nullptr, 10);
+}
+
+Json::Value parse(const std::string &Body) {
+  const auto Document = base::JsonDocument::parse(Body, "request");
+  return Document.has_value() ? Document.value().root()
+                              : Json::Value(Json::objectValue);
+}
+
+// Returns the id behind Prefix in Path, or -1.
+int64_t idAfter(const std::string &Path, const std::string &Prefix) {
+  return Path.starts_with(Prefix) ? number(Path.substr(Prefix.size())) : -1;
+}
+
+gboolean runTick(gpointer Data) {
+  (*static_cast<std::function<void()> *>(Data))();
+  return G_SOURCE_CONTINUE;
+}
+
+} // namespace
+
+PlatformStoreStandIn::PlatformStoreStandIn()
+    : Server([this](const http::ServerRequest &Request,
+                    const std::shared_ptr<http::Responder> &Out) {
+        onRequest(Request, Out);
+      }) {
+  Timer = g_timeout_add_full(
+      G_PRIORITY_DEFAULT, TickMs, runTick,
+      new std::function<void()>([this] { tick(); }),
+      [](gpointer Data) { delete static_cast<std::function<void()> *>(Data); });
+}
+
+PlatformStoreStandIn::~PlatformStoreStandIn() { g_source_remove(Timer); }
+
+base::Result<void> PlatformStoreStandIn::listen(base::SocketAddress Address) {
+  return Server.listen(Address);
+}
+
+int64_t PlatformStoreStandIn::put(const std::string &Key,
+                                  const std::string &Value) {
+  write(Key, Value, 0);
+  serveWatches();
+  return Revision;
+}
+
+void PlatformStoreStandIn::revoke(const std::string &Prefix) {
+  std::vector<std::string> Gone;
+  for (const auto &[Key, Value] : Items)
+    if (Key.starts_with(Prefix))
+      Gone.push_back(Key);
+  for (const std::string &Key : Gone)
+    erase(Key);
+  serveWatches();
+}
+
+void PlatformStoreStandIn::compact() {
+  Compacted = Revision;
+  History.clear();
+  for (const Watcher &Waiting : Watchers)
+    Waiting.Out->abort();
+  Watchers.clear();
+}
+
+void PlatformStoreStandIn::lapse() {
+  while (!Leases.empty())
+    endLease(Leases.begin()->first);
+  serveWatches();
+}
+
+void PlatformStoreStandIn::setFault(StoreFault Kind) {
+  Fault = Kind;
+  if (Kind == StoreFault::None)
+    for (const auto &Waiting : std::exchange(Unanswered, {}))
+      Waiting->abort();
+}
+
+std::string PlatformStoreStandIn::value(const std::string &Key) const {
+  const auto Found = Items.find(Key);
+  return Found == Items.end() ? "" : Found->second.Value;
+}
+
+uint64_t PlatformStoreStandIn::calls(const std::string &Path) const {
+  const auto Found = Calls.find(Path);
+  return Found == Calls.end() ? 0 : Found->second;
+}
+
+bool PlatformStoreStandIn::fails(const http::ServerRequest &Request,
+                                 const std::shared_ptr<http::Responder> &Out) {
+  switch (Fault) {
+  case StoreFault::None:
+    return false;
+  case StoreFault::Busy:
+    Out->send(empty(503));
+    return true;
+  case StoreFault::Many:
+    Out->send(empty(429));
+    return true;
+  case StoreFault::Reset:
+    Out->abort();
+    return true;
+  case StoreFault::Silent:
+    Unanswered.push_back(Out);
+    return true;
+  case StoreFault::LostAnswer:
+    if (Request.Path != "/api/kv-txn")
+      return false;
+    transact(Request.Body);
+    Out->abort();
+    return true;
+  }
+  return false;
+}
+
+void PlatformStoreStandIn::onRequest(
+    const http::ServerRequest &Request,
+    const std::shared_ptr<http::Responder> &Out) {
+  ++Calls[Request.Path];
+  if (fails(Request, Out))
+    return;
+  const int64_t Keep = idAfter(Request.Path, "/api/kv-keep/");
+  const int64_t End = idAfter(Request.Path, "/api/kv-lease-end/");
+  if (Request.Path == "/api/kv-key")
+    Out->send(readKey(parameter(Request, "key")));
+  else if (Request.Path == "/api/kv-range")
+    Out->send(
+        readRange(parameter(Request, "prefix"), parameter(Request, "after")));
+  else if (Request.Path == "/api/kv-txn")
+    Out->send(transact(Request.Body));
+  else if (Request.Path == "/api/kv-lease")
+    Out->send(grant(Request.Body));
+  else if (Keep >= 0)
+    Out->send(keep(Keep));
+  else if (End >= 0)
+    Out->send(end(End));
+  else if (Request.Path == "/api/kv-watch")
+    Watchers.push_back(
+        {parameter(Request, "prefix"), number(parameter(Request, "after")),
+         nowMs() + number(parameter(Request, "wait_timeout_ms")), Out});
+  else
+    Out->send(empty(400));
+  serveWatches();
+}
+
+Json::Value PlatformStoreStandIn::toJson(const std::string &Key,
+                                         const Item &Value) const {
+  Json::Value Result;
+  Result["key"] = Key;
+  Result["value"] = store::encodeBase64(Value.Value);
+  Result["revision"] = Json::Int64(Value.Revision);
+  Result["created_revision"] = Json::Int64(Value.Created);
+  Result["lease_id"] = Json::Int64(Value.Lease);
+  return Result;
+}
+
+http::ServerAnswer PlatformStoreStandIn::readKey(const std::string &Key) const {
+  const auto Found = Items.find(Key);
+  if (Found == Items.end())
+    return empty(404);
+  Json::Value Body = toJson(Key, Found->second);
+  Body["at"] = Json::Int64(Revision);
+  return answer(200, Body);
+}
+
+http::ServerAnswer
+PlatformStoreStandIn::readRange(const std::string &Prefix,
+                                const std::string &After) const {
+  Json::Value Body;
+  Body["items"] = Json::arrayValue;
+  Body["has_more"] = false;
+  Body["at"] = Json::Int64(Revision);
+  for (const auto &[Key, Value] : Items) {
+    if (!Key.starts_with(Prefix) || (!After.empty() && Key <= After))
+      continue;
+    if (Body["items"].size() == PageItems) {
+      Body["has_more"] = true;
+      break;
+    }
+    Body["items"].append(toJson(Key, Value));
+  }
+  return answer(200, Body);
+}
+
+http::ServerAnswer PlatformStoreStandIn::transact(const std::string &Text) {
+  const Json::Value Body = parse(Text);
+  Json::Value Current(Json::arrayValue);
+  bool Matches = true;
+  for (const Json::Value &Row : Body["expected_revision"]) {
+    const std::string Key = Row["key"].asString();
+    const auto Found = Items.find(Key);
+    const int64_t Actual = Found == Items.end() ? 0 : Found->second.Revision;
+    Matches = Matches && Actual == Row["revision"].asInt64();
+    if (Found != Items.end())
+      Current.append(toJson(Key, Found->second));
+  }
+  if (!Matches) {
+    Json::Value Refusal;
+    Refusal["items"] = Current;
+    return answer(412, Refusal);
+  }
+  for (const Json::Value &Row : Body["write"])
+    if (Row["lease_id"].asInt64() != 0 &&
+        Leases.count(Row["lease_id"].asInt64()) == 0)
+      return empty(404);
+  for (const Json::Value &Row : Body["write"])
+    write(Row["key"].asString(), store::decodeBase64(Row["value"].asString()),
+          Row["lease_id"].asInt64());
+  for (const Json::Value &Key : Body["remove"])
+    erase(Key.asString());
+  Json::Value Done;
+  Done["revision"] = Json::Int64(Revision);
+  return answer(200, Done);
+}
+
+http::ServerAnswer PlatformStoreStandIn::grant(const std::string &Text) {
+  const int64_t Ttl = parse(Text)["ttl_ms"].asInt64();
+  const int64_t Id = NextLease++;
+  Leases[Id] = {Ttl, nowMs() + Ttl};
+  Json::Value Body;
+  Body["lease_id"] = Json::Int64(Id);
+  Body["ttl_ms"] = Json::Int64(Ttl);
+  return answer(200, Body);
+}
+
+http::ServerAnswer PlatformStoreStandIn::keep(int64_t Id) {
+  const auto Found = Leases.find(Id);
+  if (Found == Leases.end())
+    return empty(404);
+  Found->second.EndsAtMs = nowMs() + Found->second.TtlMs;
+  Json::Value Body;
+  Body["ttl_ms"] = Json::Int64(Found->second.TtlMs);
+  return answer(200, Body);
+}
+
+http::ServerAnswer PlatformStoreStandIn::end(int64_t Id) {
+  if (Leases.count(Id) == 0)
+    return empty(404);
+  endLease(Id);
+  return empty(200);
+}
+
+void PlatformStoreStandIn::write(const std::string &Key,
+                                 const std::string &Value, int64_t LeaseId) {
+  Item &Stored = Items[Key];
+  Stored.Value = Value;
+  Stored.Revision = ++Revision;
+  Stored.Lease = LeaseId;
+  if (Stored.Created == 0)
+    Stored.Created = Revision;
+  History.push_back({Key, Revision, false});
+}
+
+void PlatformStoreStandIn::erase(const std::string &Key) {
+  if (Items.erase(Key) != 0)
+    History.push_back({Key, ++Revision, true});
+}
+
+void PlatformStoreStandIn::endLease(int64_t Id) {
+  Leases.erase(Id);
+  std::vector<std::string> Gone;
+  for (const auto &[Key, Value] : Items)
+    if (Value.Lease == Id)
+      Gone.push_back(Key);
+  for (const std::string &Key : Gone)
+    erase(Key);
+}
+
+// Answers a watch that has events or is over. Returns whether it did.
+bool PlatformStoreStandIn::answerWatch(const Watcher &Waiting) const {
+  if (Waiting.After < Compacted) {
+    Waiting.Out->send(empty(410));
+    return true;
+  }
+  Json::Value Body;
+  Body["events"] = Json::arrayValue;
+  Body["at"] = Json::Int64(Revision);
+  for (const Event &Each : History) {
+    if (Each.Revision <= Waiting.After || !Each.Key.starts_with(Waiting.Prefix))
+      continue;
+    const auto Found = Items.find(Each.Key);
+    Json::Value Entry;
+    Entry["key"] = Each.Key;
+    Entry["revision"] = Json::Int64(Each.Revision);
+    if (Each.Deleted)
+      Entry["deleted"] = true;
+    else if (Found != Items.end() && Found->second.Revision == Each.Revision)
+      Entry = toJson(Each.Key, Found->second);
+    else
+      continue; // a later event of the same key follows
+    Body["events"].append(Entry);
+  }
+  if (Body["events"].empty() && nowMs() < Waiting.EndsAtMs)
+    return false;
+  Waiting.Out->send(answer(200, Body));
+  return true;
+}
+
+void PlatformStoreStandIn::serveWatches() {
+  if (Fault != StoreFault::None && Fault != StoreFault::LostAnswer)
+    return;
+  std::erase_if(Watchers, [&](const Watcher &Waiting) {
+    return Waiting.Out->isClosed() || answerWatch(Waiting);
+  });
+}
+
+void PlatformStoreStandIn::tick() {
+  std::vector<int64_t> Ended;
+  for (const auto &[Id, Value] : Leases)
+    if (nowMs() >= Value.EndsAtMs)
+      Ended.push_back(Id);
+  for (const int64_t Id : Ended)
+    endLease(Id);
+  serveWatches();
+}
+
+} // namespace burdockstream::testing
