Ask peers for their agents before a reset

Change: a balancer that starts asks its seeds, and each balancer that agents name, which agents they hear; until they have answered no search ends in a reset, nor does one that asked nobody. Agent events pause 1 s.

--- a/packages/flowd/include/burdockstream/flowd/WatchedPrefix.h
+++ b/packages/flowd/include/burdockstream/flowd/WatchedPrefix.h
@@ -27,15 +27,12 @@
 inline constexpr base::Duration ShortestRetry = std::chrono::milliseconds(250);
 inline constexpr base::Duration LongestRetry = std::chrono::milliseconds(1000);
 
-// Changes often come in series, and each answer of the store costs a call. The
-// bound for a change to be in force is some seconds.
-inline constexpr base::Duration EventPause = std::chrono::milliseconds(500);
-
 class WatchedPrefix {
 public:
-  // Store must outlive the object.
+  // Events may be late by Pause, see store::WatchRequest. Store must outlive
+  // the object.
   WatchedPrefix(store::Store &InitStore, std::string InitPrefix,
-                WatchHooks InitHooks);
+                base::Duration InitPause, WatchHooks InitHooks);
   ~WatchedPrefix();
   WatchedPrefix(const WatchedPrefix &) = delete;
   WatchedPrefix &operator=(const WatchedPrefix &) = delete;
@@ -55,6 +52,7 @@
 
   store::Store &Store;
   std::string Prefix;
+  base::Duration Pause;
   WatchHooks Hooks;
   std::unique_ptr<http::HttpStream> Watch;
   bool InStep = false;
--- a/packages/flowd/src/BalancerShell.cpp
+++ b/packages/flowd/src/BalancerShell.cpp
@@ -22,7 +22,13 @@
 // asked for what they know.
 constexpr base::Duration PeerDelay = std::chrono::milliseconds(800);
 constexpr base::Duration PeerRound = std::chrono::milliseconds(1000);
-constexpr base::Duration PeerTimeout = std::chrono::milliseconds(800);
+constexpr base::Duration PeerTimeout = std::chrono::milliseconds(500);
+
+// Changes often come in series, and each answer of the store costs a call. The
+// bound for routes to be in force is some seconds; a target that has just
+// started is slow anyway.
+constexpr base::Duration RoutesPause = std::chrono::milliseconds(500);
+constexpr base::Duration AgentsPause = std::chrono::milliseconds(1000);
 
 constexpr const char *StatePath = "/v1/state";
 constexpr const char *MetricsPath = "/metrics";
@@ -204,11 +210,13 @@
                  });
   StartedAt = readClocks().Monotonic;
   Routes = std::make_unique<WatchedPrefix>(*Store, Environment.RoutesKey,
-                                           routesHooks());
+                                           RoutesPause, routesHooks());
   Agents = std::make_unique<WatchedPrefix>(*Store, std::string(AgentPrefix),
-                                           agentsHooks());
+                                           AgentsPause, agentsHooks());
   Routes->start();
   Agents->start();
+  for (const base::SocketAddress Peer : Settings.Peers)
+    meetPeer(Peer);
   Timer = callEvery(TickInterval, [this] { tick(); });
   return boost::outcome_v2::success();
 }
@@ -218,8 +226,11 @@
   const auto Frame = flows::readFrame(Datagram);
   const base::TimePoint Now = readClocks().Monotonic;
   if (Frame && Frame->Header.Kind == flows::FrameKind::Status) {
-    if (const auto Status = flows::unpackStatus(Frame->Body))
+    if (const auto Status = flows::unpackStatus(Frame->Body)) {
+      if (Status->NewestRoutesAt != base::SocketAddress())
+        meetPeer(Status->NewestRoutesAt);
       return Core.onStatus(From, *Status, Now);
+    }
   } else if (Frame) {
     if (const auto Packet = Environment.Codec.DecodeHeader(Frame->Body))
       return Core.onAgentAnswer(From, Frame->Header, *Packet, Now);
@@ -261,16 +272,26 @@
   return base::compactJson(State);
 }
 
+// A peer that was not known before is asked which agents it hears.
+void BalancerShell::meetPeer(base::SocketAddress Peer) {
+  if (Peer.Ip == Settings.Control.Ip || !KnownPeers.insert(Peer).second)
+    return;
+  askPeer(Peer);
+}
+
 void BalancerShell::askPeers() {
   for (const base::SocketAddress Peer : Settings.Peers)
-    if (Peer != Settings.Control && Peer != Settings.Seed)
+    if (Peer.Ip != Settings.Control.Ip)
       askPeer(Peer);
 }
 
 void BalancerShell::askPeer(base::SocketAddress Peer) {
   const http::HttpRequest Request{
       "http://" + base::toString(Peer) + StatePath, "", {}, PeerTimeout, "GET"};
+  ++OpenPeerCalls;
+  Core.setPeersAsked(false);
   Client.send(Request, [this, Peer](base::Result<http::HttpResponse> Answer) {
+    Core.setPeersAsked(--OpenPeerCalls == 0);
     if (Answer.has_value() && Answer.value().Status == 200)
       return takePeerState(Peer, Answer.value().Body);
     AskedRevision.reset(); // ask again when the next status says so
--- a/packages/flowd/src/BalancerShell.h
+++ b/packages/flowd/src/BalancerShell.h
@@ -10,6 +10,7 @@
 #include "burdockstream/flows/FlowBalancer.h"
 
 #include <optional>
+#include <set>
 #include <string>
 
 namespace burdockstream::flowd {
@@ -36,6 +37,7 @@
   void takeAgent(const store::WatchEvent &Event);
   void logStore(const char *Event, const char *What, const base::Error *Reason);
   void askPeers();
+  void meetPeer(base::SocketAddress Peer);
   void askPeer(base::SocketAddress Peer);
   void takePeerState(base::SocketAddress Peer, const std::string &Body);
   std::string stateForPeers() const;
@@ -58,6 +60,8 @@
   http::HttpClient Client;
   std::string RoutesText; // of the routes in force, for peers
   std::optional<base::Revision> AskedRevision;
+  std::set<base::SocketAddress> KnownPeers; // that were asked at least once
+  size_t OpenPeerCalls = 0;
   base::TimePoint StartedAt{};
   base::TimePoint NextPeerRound{};
   bool Stopping = false;
--- a/packages/flowd/src/WatchedPrefix.cpp
+++ b/packages/flowd/src/WatchedPrefix.cpp
@@ -8,8 +8,8 @@
 namespace burdockstream::flowd {
 
 WatchedPrefix::WatchedPrefix(store::Store &InitStore, std::string InitPrefix,
-                             WatchHooks InitHooks)
-    : Store(InitStore), Prefix(std::move(InitPrefix)),
+                             base::Duration InitPause, WatchHooks InitHooks)
+    : Store(InitStore), Prefix(std::move(InitPrefix)), Pause(InitPause),
       Hooks(std::move(InitHooks)) {}
 
 WatchedPrefix::~WatchedPrefix() {
@@ -36,7 +36,7 @@
   store::WatchRequest Request;
   Request.Prefix = Prefix;
   Request.StartRevision = Reply.value().StoreRevision + 1;
-  Request.Pause = EventPause;
+  Request.Pause = Pause;
   Watch = Store.watch(
       Request,
       [this](const store::WatchEvent &Event) {
--- a/packages/flows/include/burdockstream/flows/FlowBalancer.h
+++ b/packages/flows/include/burdockstream/flows/FlowBalancer.h
@@ -51,7 +51,7 @@
 
 // The first list is complete, but for agents that register just then.
 inline constexpr base::Duration FirstSettleTime =
-    std::chrono::milliseconds(300);
+    std::chrono::milliseconds(150);
 
 // Time in which agents answer a search; later it is forgotten, and the next
 // packet of the flow starts another one.
@@ -94,6 +94,11 @@
   // Takes an agent that a peer knows. It stays in use if it answers.
   void suggestAgent(const AgentEntry &Entry, base::TimePoint Now);
 
+  // Whether the peers that can be found have said which agents they hear, or
+  // cannot be reached. After an outage the store's list may lack agents that
+  // live and hold flows.
+  void setPeersAsked(bool Asked) { PeersAsked = Asked; }
+
   // Whether the store answers, so that routes and list are the newest.
   void setStoreFresh(bool Fresh) { StoreFresh = Fresh; }
 
@@ -171,6 +176,7 @@
   uint64_t DroppedSearches = 0;
   bool StoreFresh = false;
   bool ListKnown = false;
+  bool PeersAsked = true;
   base::TimePoint LastListChange{};
   base::TimePoint LastTick{};
   base::TimePoint NextHello{};
--- a/packages/flows/src/FlowBalancer.cpp
+++ b/packages/flows/src/FlowBalancer.cpp
@@ -179,6 +179,8 @@
       Asked += Targets.ofService(Service).size();
     if (!admitSearch(Asked, Now))
       return;
+    if (Asked == 0) // an empty list proves nothing
+      return decide(DecisionKind::Unsettled, Packet.Flow, NoTarget, 0, Now);
     Found = Searches.try_emplace(Packet.Flow).first;
     ask(Found->second, *Route, Excluded, Packet, Now);
   }
@@ -370,7 +372,8 @@
 }
 
 bool FlowBalancer::isSettled(base::TimePoint Now) const {
-  return StoreFresh && ListKnown && Now - LastListChange >= SettleTime;
+  return StoreFresh && ListKnown && PeersAsked &&
+         Now - LastListChange >= SettleTime;
 }
 
 void FlowBalancer::decide(DecisionKind Kind, const FlowKey &Flow,
--- a/packages/flows/test/BalancerTest.cpp
+++ b/packages/flows/test/BalancerTest.cpp
@@ -110,6 +110,36 @@
   EXPECT_EQ(W.count(DecisionKind::Unsettled), 1U);
 }
 
+// Guards against resets after an outage in which all leases lapsed: a balancer
+// that starts then finds an empty or partial list, while targets hold flows.
+TEST_F(BalancerTest, SendsNoResetBeforePeersNamedTheirAgents) {
+  const FlowKey Flow = World::flow(40001);
+  W.open(0, Flow);
+  W.restartBalancer(1);
+  W.setRoutes(1, 10, {{ShopAddress, std::string(Shop)}});
+  FlowBalancer &Fresh = *W.Balancers[1].Core;
+  Fresh.setStoreFresh(true);
+  Fresh.setPeersAsked(false);
+  const size_t Other = W.holder(Flow) == 0 ? 1 : 0;
+  Fresh.setAgents({{W.Agents[Other].Address, std::string(Shop), "a"}}, W.Now);
+  W.run(seconds(2));
+  beatAll();
+  W.send(1, Flow);
+  EXPECT_TRUE(W.Resets.empty());
+}
+
+TEST_F(BalancerTest, SendsNoResetWhileTheListIsEmpty) {
+  for (AgentPlace &Place : W.Agents)
+    Place.Running = false;
+  W.restartBalancer(1);
+  W.setRoutes(1, 10, {{ShopAddress, std::string(Shop)}});
+  W.Balancers[1].Core->setStoreFresh(true);
+  W.Balancers[1].Core->setAgents({}, W.Now);
+  W.run(seconds(2));
+  W.send(1, World::flow(40001));
+  EXPECT_TRUE(W.Resets.empty());
+}
+
 TEST_F(BalancerTest, SendsNoResetRightAfterAnAgentWasListed) {
   W.addAgent();
   W.listAll();
--- a/packages/http/src/HttpServer.cpp
+++ b/packages/http/src/HttpServer.cpp
@@ -114,10 +114,12 @@
 void onRequest(SoupServer *, SoupServerMessage *Message, const char *Path,
                GHashTable *Query, gpointer Data) {
   const auto &Handle = *static_cast<Handler *>(Data);
-  const ServerRequest Request{
-      soup_server_message_get_method(Message), Path, requestBody(Message),
-      headerValue(Message, "Authorization"),
-      headerValue(Message, "X-Burdockstream-Signature"), queryOf(Query)};
+  const ServerRequest Request{soup_server_message_get_method(Message),
+                              Path,
+                              requestBody(Message),
+                              headerValue(Message, "Authorization"),
+                              headerValue(Message, "X-Burdockstream-Signature"),
+                              queryOf(Query)};
   soup_server_message_pause(Message);
   Handle(Request, std::make_shared<SoupResponder>(Message));
 }
