Count a flow as work from its opening packet on

Cause: after an outage hundreds of clients open flows within one status interval; a status between opening and first request called the target idle. Change: the agent's waiting count includes flows whose first request is on its way, for 0.5 s at most.

--- a/packages/flows/include/burdockstream/flows/FlowAgent.h
+++ b/packages/flows/include/burdockstream/flows/FlowAgent.h
@@ -16,6 +16,7 @@
 #include "burdockstream/flows/Packet.h"
 #include "burdockstream/flows/TargetStatus.h"
 
+#include <deque>
 #include <functional>
 #include <string>
 #include <vector>
@@ -90,6 +91,10 @@
 // reach the target.
 inline constexpr base::Duration NotHeldLife = std::chrono::seconds(3);
 
+// The first request of a flow arrives one round trip to the client after its
+// opening packet; later the client has chosen another target, or none.
+inline constexpr base::Duration OpeningLife = std::chrono::milliseconds(500);
+
 // The time between two checks of a target that has gone silent.
 inline constexpr base::Duration ProbeInterval = std::chrono::milliseconds(1000);
 
@@ -131,7 +136,8 @@
 
   TargetState state() const { return State; }
   const TargetIdentity &target() const { return Options.Target; }
-  uint32_t waiting() const { return Waiting; }
+  // Requests without an answer, and flows whose first request is on its way.
+  uint32_t waiting() const { return Waiting + Opening; }
   size_t flows() const { return Flows.size(); }
   size_t balancers() const { return Balancers.size(); }
 
@@ -144,6 +150,7 @@
     bool Open = false;    // the target has sent data or closed: it holds it
     bool Waiting = false; // a request has no answer yet
     bool Counted = false; // in OpenFlows
+    bool Opening = false; // its first request has not arrived yet
   };
   struct Balancer {
     base::SocketAddress Address;
@@ -168,6 +175,9 @@
   void onReturned(const Packet &Packet, base::TimePoint Now);
   void answer(base::SocketAddress To, FrameKind Kind, ReturnReason Reason,
               std::span<const uint8_t> Body);
+  void noteOpening(FlowRecord &Record, const FlowKey &Flow,
+                   base::TimePoint Now);
+  void expireOpenings(base::TimePoint Now);
   void stopCounting(FlowRecord &Record);
   void forget(const FlowKey &Flow);
   void resetAll(base::TimePoint Now);
@@ -196,6 +206,9 @@
   AgingMap<bool> NotHeld;
   base::TimePoint NextAging{};
   base::TimePoint NextNotHeldAging{};
+  // Flows whose opening packet was delivered a moment ago, oldest first.
+  std::deque<std::pair<FlowKey, base::TimePoint>> Openings;
+  uint32_t Opening = 0;
   uint32_t Waiting = 0;
   uint32_t OpenFlows = 0;
   double MeanServiceUs = 0;
--- a/packages/flows/src/FlowAgent.cpp
+++ b/packages/flows/src/FlowAgent.cpp
@@ -90,6 +90,7 @@
   Record.Class = static_cast<WorkClass>(
       std::min<size_t>(Header.WorkClass, WorkClasses - 1));
   NotHeld.erase(Packet.Flow);
+  noteOpening(Record, Packet.Flow, Now);
   deliver(From, Packet, false);
   decide(DecisionKind::Delivered, Reason, Packet.Flow, From, Header, Now);
 }
@@ -154,6 +155,8 @@
   if (Packet.DataBytes == 0 || !Newer)
     return;
   Record.RequestEnd = End;
+  if (std::exchange(Record.Opening, false))
+    --Opening;
   if (Record.Waiting)
     return;
   Record.Waiting = true;
@@ -161,6 +164,27 @@
   ++Waiting;
 }
 
+// Load pattern: after an outage hundreds of clients open flows within one
+// status interval. Their requests count from the opening packet on; otherwise
+// each status would invite more flows before the first requests arrive.
+void FlowAgent::noteOpening(FlowRecord &Record, const FlowKey &Flow,
+                            base::TimePoint Now) {
+  if (Record.Opening || Record.RequestEnd != 0)
+    return;
+  Record.Opening = true;
+  ++Opening;
+  Openings.emplace_back(Flow, Now);
+}
+
+void FlowAgent::expireOpenings(base::TimePoint Now) {
+  while (!Openings.empty() && Now - Openings.front().second > OpeningLife) {
+    FlowRecord *Record = Flows.use(Openings.front().first);
+    if (Record && std::exchange(Record->Opening, false))
+      --Opening;
+    Openings.pop_front();
+  }
+}
+
 void FlowAgent::noteAnswer(FlowRecord &Record, base::TimePoint Now) {
   if (!Record.Waiting)
     return;
@@ -241,7 +265,9 @@
     --OpenFlows;
   if (Record.Waiting)
     --Waiting;
-  Record.Counted = Record.Waiting = false;
+  if (Record.Opening)
+    --Opening;
+  Record.Counted = Record.Waiting = Record.Opening = false;
 }
 
 void FlowAgent::forget(const FlowKey &Flow) {
@@ -261,6 +287,7 @@
            FrameHeader(), Now);
   });
   Flows.clear();
+  Openings.clear();
   Searched.clear();
 }
 
@@ -335,7 +362,8 @@
   std::erase_if(Balancers, [&](const Balancer &Each) {
     return Now - Each.LastHello > BalancerLife;
   });
-  const bool Changed = Waiting != SentWaiting || OpenFlows != SentFlows;
+  expireOpenings(Now);
+  const bool Changed = waiting() != SentWaiting || OpenFlows != SentFlows;
   if (Now >= NextStatus)
     sendStatuses(Now, Audience::All);
   else if (Changed && Now >= NextNearStatus)
@@ -383,7 +411,7 @@
                      ? TargetState::Leaving
                      : State;
   Status.Slots = Slots;
-  Status.Waiting = Waiting;
+  Status.Waiting = waiting();
   Status.Flows = OpenFlows;
   const auto Warm = std::chrono::duration_cast<std::chrono::milliseconds>(
       std::max(WarmUntil - Now, base::Duration(0)));
@@ -405,7 +433,7 @@
     if (Each.Near || To == Audience::All)
       Hooks.SendFrame(Each.Address, Header, Body);
   }
-  SentWaiting = Waiting;
+  SentWaiting = waiting();
   SentFlows = OpenFlows;
   const auto Interval = [](base::Duration Shortest, size_t Receivers) {
     return std::max(Shortest, base::Duration(StatusTimePerBalancer *
--- a/packages/flows/test/AgentTest.cpp
+++ b/packages/flows/test/AgentTest.cpp
@@ -191,6 +191,23 @@
   EXPECT_EQ(agent().Core->waiting(), 0U);
 }
 
+// Load pattern: many clients open flows within one status interval. Guards
+// against a status that calls the target idle while their requests are on the
+// way, and against openings that count forever.
+TEST_F(AgentTest, CountsAFlowAsWorkFromItsOpeningPacketOn) {
+  agent().Target.Mute = true;
+  for (uint16_t Port = 1; Port <= 5; ++Port)
+    W.open(0, World::flow(Port));
+  EXPECT_EQ(agent().Core->waiting(), 5U);
+  W.send(0, World::flow(1));
+  EXPECT_EQ(agent().Core->waiting(), 5U) << "a request was counted twice";
+  W.run(milliseconds(700));
+  EXPECT_EQ(agent().Core->waiting(), 1U) << "abandoned openings stay";
+  agent().Target.Full = true;
+  W.open(0, World::flow(9));
+  EXPECT_EQ(agent().Core->waiting(), 1U) << "a refused opening stays";
+}
+
 // Guards against an entry that the store has lost without telling anybody.
 TEST_F(AgentTest, LearnsFromBalancersThatItsEntryIsMissing) {
   EXPECT_TRUE(W.Missing.empty());
