Give packets of a running search to the agents that are unsure

Cause: after a kill of all processes the targets live and agents cannot know their flows. The first packet of a flow may be an acknowledgement that its target does not answer; the search then had no end, and the next request waited for 1.5 s (search_expired with one open agent, p99 1.45 s from second 34 to 44). Change: packets of a running search go on to unsure agents; a packet that the target has kept for 0.1 s proves that it holds the flow; an answer without a search changes nothing. Two tests that fail without it.

--- a/packages/flows/include/burdockstream/flows/FlowAgent.h
+++ b/packages/flows/include/burdockstream/flows/FlowAgent.h
@@ -95,6 +95,11 @@
 // opening packet; later the client has chosen another target, or none.
 inline constexpr base::Duration OpeningLife = std::chrono::milliseconds(500);
 
+// A target on the same VM returns a packet within milliseconds. One that it
+// keeps for longer belongs to a flow that it holds: not every packet is
+// answered.
+inline constexpr base::Duration TrialTime = std::chrono::milliseconds(100);
+
 // The time between two checks of a target that has gone silent.
 inline constexpr base::Duration ProbeInterval = std::chrono::milliseconds(1000);
 
@@ -157,6 +162,12 @@
     base::TimePoint LastHello;
     bool Near = false; // in the same failure domain
   };
+  // A packet that was given to the target to learn whether it holds the flow.
+  struct Trial {
+    FlowKey Flow;
+    base::TimePoint At;
+    std::vector<uint8_t> Header; // of the packet
+  };
   enum class Audience : uint8_t { Near, All };
 
   void onOpening(base::SocketAddress From, const FrameHeader &Header,
@@ -167,7 +178,7 @@
   void onSearch(base::SocketAddress From, const FrameHeader &Header,
                 const Packet &Packet);
   void onTry(base::SocketAddress From, const FrameHeader &Header,
-             const Packet &Packet);
+             const Packet &Packet, base::TimePoint Now);
   void deliver(base::SocketAddress From, const Packet &Packet, bool IsSearch);
   void noteRequest(FlowRecord &Record, const Packet &Packet,
                    base::TimePoint Now);
@@ -177,6 +188,7 @@
               std::span<const uint8_t> Body);
   void noteOpening(FlowRecord &Record, const FlowKey &Flow,
                    base::TimePoint Now);
+  void settleTrials(base::TimePoint Now);
   void expireOpenings(base::TimePoint Now);
   void stopCounting(FlowRecord &Record);
   void forget(const FlowKey &Flow);
@@ -203,6 +215,7 @@
 
   AgingMap<FlowRecord> Flows;
   AgingMap<uint16_t> Searched; // delivered without knowing; value: balancer
+  std::deque<Trial> Trials;    // the same, oldest first
   AgingMap<bool> NotHeld;
   base::TimePoint NextAging{};
   base::TimePoint NextNotHeldAging{};
--- a/packages/flows/include/burdockstream/flows/FlowBalancer.h
+++ b/packages/flows/include/burdockstream/flows/FlowBalancer.h
@@ -135,7 +135,8 @@
   struct Search {
     base::TimePoint Started;
     std::vector<TargetIndex> Open;
-    uint32_t Acknowledged = 0; // newest of the client
+    std::vector<TargetIndex> Unsure; // of Open: those that try the packets
+    uint32_t Acknowledged = 0;       // newest of the client
     // What the client sent meanwhile, for the agent that holds the flow.
     std::vector<std::vector<uint8_t>> Kept;
   };
@@ -146,7 +147,8 @@
   std::vector<Candidate> candidates(base::ServiceId Service,
                                     const FlowEntry &Entry, double Distance,
                                     base::TimePoint Now);
-  void forward(const Packet &Packet, TargetIndex Index, const Route *Route);
+  void forward(const Packet &Packet, TargetIndex Index, const Route *Route,
+               FrameKind Kind = FrameKind::Forward);
   void search(const Packet &Packet, TargetIndex Excluded, base::TimePoint Now);
   bool admitSearch(size_t Asked, base::TimePoint Now);
   void ask(Search &Running, const Route &Route, TargetIndex Excluded,
@@ -156,6 +158,7 @@
                     base::TimePoint Now);
   void onReturned(TargetIndex Agent, ReturnReason Reason, const Packet &Packet,
                   base::TimePoint Now);
+  void onUnsure(TargetIndex Agent, const FlowKey &Flow);
   void onHeld(TargetIndex Agent, const FlowKey &Flow, base::TimePoint Now);
   void onNotHeld(TargetIndex Agent, const Packet &Packet, base::TimePoint Now);
   void refuse(const Packet &Packet, DecisionKind Kind, size_t Candidates);
--- a/packages/flows/src/FlowAgent.cpp
+++ b/packages/flows/src/FlowAgent.cpp
@@ -60,7 +60,7 @@
   if (Header.Kind == FrameKind::Search)
     return onSearch(From, Header, Packet);
   if (Header.Kind == FrameKind::Try)
-    return onTry(From, Header, Packet);
+    return onTry(From, Header, Packet, Now);
   onForward(From, Header, Packet, Now);
 }
 
@@ -130,15 +130,34 @@
 
 // Only the target knows: it returns the packet if it does not hold the flow.
 void FlowAgent::onTry(base::SocketAddress From, const FrameHeader &Header,
-                      const Packet &Packet) {
+                      const Packet &Packet, base::TimePoint Now) {
   if (Flows.use(Packet.Flow) || State == TargetState::Stopped ||
       NotHeld.use(Packet.Flow) ||
       Header.Service != base::serviceIdOf(Options.Target.Service))
     return onSearch(From, Header, Packet);
   Searched.insert(Packet.Flow) = balancerIndex(From);
+  const size_t HeaderSize =
+      std::min(Packet.Bytes.size(), Options.PacketHeaderBytes);
+  Trials.push_back(
+      {Packet.Flow,
+       Now,
+       {Packet.Bytes.begin(),
+        Packet.Bytes.begin() + static_cast<ptrdiff_t>(HeaderSize)}});
   deliver(From, Packet, true);
 }
 
+void FlowAgent::settleTrials(base::TimePoint Now) {
+  for (; !Trials.empty() && Now - Trials.front().At > TrialTime;
+       Trials.pop_front()) {
+    const Trial &Done = Trials.front();
+    const uint16_t *Asker = Searched.use(Done.Flow);
+    if (!Asker)
+      continue; // returned, or answered by the target meanwhile
+    answer(Senders[*Asker], FrameKind::Held, ReturnReason::None, Done.Header);
+    Searched.erase(Done.Flow);
+  }
+}
+
 void FlowAgent::deliver(base::SocketAddress From, const Packet &Packet,
                         bool IsSearch) {
   Hooks.Stamp(Packet.Bytes, makeTag(balancerIndex(From), IsSearch));
@@ -363,6 +382,7 @@
     return Now - Each.LastHello > BalancerLife;
   });
   expireOpenings(Now);
+  settleTrials(Now);
   const bool Changed = waiting() != SentWaiting || OpenFlows != SentFlows;
   if (Now >= NextStatus)
     sendStatuses(Now, Audience::All);
--- a/packages/flows/src/FlowBalancer.cpp
+++ b/packages/flows/src/FlowBalancer.cpp
@@ -144,10 +144,10 @@
 }
 
 void FlowBalancer::forward(const Packet &Packet, TargetIndex Index,
-                           const Route *Route) {
+                           const Route *Route, FrameKind Kind) {
   const Target &To = *Targets.at(Index);
   FrameHeader Header;
-  Header.Kind = FrameKind::Forward;
+  Header.Kind = Kind;
   Header.WorkClass =
       static_cast<uint8_t>(Route ? Route->Class : WorkClass::Other);
   Header.Service = Route ? serviceOf(*Route, Packet.Flow) : To.Service;
@@ -188,6 +188,9 @@
   Running.Acknowledged = Packet.Acknowledged;
   if (Running.Kept.size() < MaxKept)
     Running.Kept.emplace_back(Packet.Bytes.begin(), Packet.Bytes.end());
+  for (const TargetIndex Index : Running.Unsure)
+    if (Targets.at(Index))
+      forward(Packet, Index, nullptr, FrameKind::Try);
 }
 
 bool FlowBalancer::admitSearch(size_t Asked, base::TimePoint Now) {
@@ -266,9 +269,7 @@
   case FrameKind::NotHeld:
     return onNotHeld(Index, Packet, Now);
   case FrameKind::Unsure:
-    if (const auto Found = Searches.find(Packet.Flow); Found != Searches.end())
-      sendKept(Found->second, Index, FrameKind::Try);
-    return;
+    return onUnsure(Index, Packet.Flow);
   default:
     return;
   }
@@ -295,12 +296,21 @@
     place(Packet, *Route, *Entry, Now);
 }
 
+void FlowBalancer::onUnsure(TargetIndex Agent, const FlowKey &Flow) {
+  const auto Found = Searches.find(Flow);
+  if (Found == Searches.end())
+    return;
+  Found->second.Unsure.push_back(Agent);
+  sendKept(Found->second, Agent, FrameKind::Try);
+}
+
 void FlowBalancer::onHeld(TargetIndex Agent, const FlowKey &Flow,
                           base::TimePoint Now) {
-  Flows.insert(Flow).Target = Agent;
+  // Without a search the holder is known; a later answer may be an assumption.
   const auto Found = Searches.find(Flow);
   if (Found == Searches.end())
     return;
+  Flows.insert(Flow).Target = Agent;
   sendKept(Found->second, Agent, FrameKind::Forward);
   Searches.erase(Found);
   decide(DecisionKind::Found, Flow, Agent, 0, Now);
@@ -312,6 +322,7 @@
   if (Found == Searches.end())
     return;
   std::erase(Found->second.Open, Agent);
+  std::erase(Found->second.Unsure, Agent);
   if (!Found->second.Open.empty())
     return;
   finishSearch(Packet.Flow, Found->second, Now);
--- a/packages/flows/test/AgentTest.cpp
+++ b/packages/flows/test/AgentTest.cpp
@@ -154,6 +154,38 @@
   EXPECT_TRUE(agent().Target.Tried.empty());
 }
 
+// Guards against a request that waits for 1.5 s after a restart of all
+// processes while the targets live: the first packet of a flow may be one that
+// its target does not answer, and the request comes while the search runs.
+TEST_F(AgentTest, ARequestDuringASearchReachesTheHolderAtOnce) {
+  W.open(0, World::flow(1));
+  W.send(0, World::flow(1));
+  W.restartAgent(0);
+  W.beat(0);
+  W.restartBalancer(1);
+  W.setRoutes(1, 10, {{ShopAddress, std::string(Shop)}});
+  W.listAll();
+  W.run(milliseconds(200));
+  agent().Target.Mute = true;
+  W.send(1, World::flow(1), 1);
+  const size_t Before = agent().Target.Requests;
+  W.send(1, World::flow(1), 2);
+  EXPECT_EQ(agent().Target.Requests, Before + 1);
+}
+
+// Guards against a search that never ends because the target keeps the packet
+// without an answer.
+TEST_F(AgentTest, APacketThatTheTargetKeepsProvesThatItHoldsTheFlow) {
+  W.open(0, World::flow(1));
+  W.send(0, World::flow(1));
+  W.restartAgent(0);
+  W.beat(0);
+  agent().Target.Mute = true;
+  W.send(1, World::flow(1));
+  W.run(milliseconds(250));
+  EXPECT_EQ(W.count(DecisionKind::Found), 1U);
+}
+
 // Guards against packets that wander: after a restart only the target knows its
 // flows, but it is asked once for each.
 TEST_F(AgentTest, TriesAnUnknownFlowOnceAfterItsOwnRestart) {
--- a/packages/flows/test/FlowFixture.cpp
+++ b/packages/flows/test/FlowFixture.cpp
@@ -254,6 +254,8 @@
     Place.Target.Held.insert(Key);
     Place.Target.Opened.push_back(Arrived.Flow);
   }
+  if (Arrived.DataBytes > 0)
+    ++Place.Target.Requests;
   if (Place.Target.Mute && Arrived.DataBytes > 0)
     return;
   Answer.Opens = false;
--- a/packages/flows/test/FlowFixture.h
+++ b/packages/flows/test/FlowFixture.h
@@ -39,6 +39,7 @@
   std::set<std::pair<uint64_t, uint64_t>> Held;
   std::vector<FlowKey> Opened; // in the order of arrival
   std::vector<FlowKey> Tried;  // packets of flows that it does not hold
+  size_t Requests = 0;         // data packets of flows that it holds
   bool Full = false;           // returns opening packets
   bool Mute = false;           // leaves requests without an answer
 };
