--- a/packages/flowd/test/FlowSettingsTest.cpp
+++ b/packages/flowd/test/FlowSettingsTest.cpp
@@ -34,24 +34,24 @@
 // Guards against a daemon that starts with settings that somebody mistyped.
 TEST(FlowSettingsTest, RefusesWhatIsWrongWithItsLine) {
   const std::string Agent = example("agent.json");
-  const auto problem = [](const std::string &Text) {
+  const auto Problem = [](const std::string &Text) {
     const auto Read = parseFlowSettings(Text, "agent.json");
     return Read.has_error() ? Read.error().Message : "accepted";
   };
   EXPECT_NE(
-      problem(replaced(Agent, "\"role\": \"agent\"", "\"role\": \"agnet\""))
+      Problem(replaced(Agent, "\"role\": \"agent\"", "\"role\": \"agnet\""))
           .find("balancer or agent"),
       std::string::npos);
   EXPECT_NE(
-      problem(replaced(Agent, "\"service\"", "\"servce\"")).find("servce"),
+      Problem(replaced(Agent, "\"service\"", "\"servce\"")).find("servce"),
       std::string::npos);
-  EXPECT_NE(problem(replaced(Agent, "1200", "0")).find("heartbeat_interval_ms"),
+  EXPECT_NE(Problem(replaced(Agent, "1200", "0")).find("heartbeat_interval_ms"),
             std::string::npos);
   EXPECT_NE(
-      problem(replaced(Agent, "\"role\": \"agent\"", "\"role\": \"balancer\""))
+      Problem(replaced(Agent, "\"role\": \"agent\"", "\"role\": \"balancer\""))
           .find("a balancer has no target"),
       std::string::npos);
-  EXPECT_EQ(problem(Agent), "accepted");
+  EXPECT_EQ(Problem(Agent), "accepted");
 }
 
 TEST(AgentEntriesTest, ReadsWhatItWrites) {
--- a/packages/flows/src/FlowAgent.cpp
+++ b/packages/flows/src/FlowAgent.cpp
@@ -1,7 +1,6 @@
 #include "burdockstream/flows/FlowAgent.h"
 
 #include "TargetStates.h"
-#include "burdockstream/base/NameTable.h"
 
 #include <algorithm>
 #include <utility>
@@ -12,13 +11,6 @@
 
 namespace {
 
-constexpr base::NameTable<ProbeResult, 4> ProbeNames({{
-    {ProbeResult::Healthy, "healthy"},
-    {ProbeResult::Unwilling, "unwilling"},
-    {ProbeResult::NoProcess, "no_process"},
-    {ProbeResult::NoAnswer, "no_answer"},
-}});
-
 // A tag names the balancer that sent a packet and whether it was a search. Tag
 // zero marks packets that the target wrote itself.
 constexpr uint32_t SearchBit = 1U << 16;
@@ -28,18 +20,11 @@
   return TagMark | (Searched ? SearchBit : 0) | Sender;
 }
 
-// The number of a target's first heartbeat.
-constexpr uint64_t FirstHeartbeat = 1;
-
 // Weight of the newest request in the mean time that requests take.
 constexpr double ServiceTimeWeight = 0.1;
 
 } // namespace
 
-std::string_view toString(ProbeResult Result) {
-  return ProbeNames.name(Result);
-}
-
 void FlowAgent::start(base::TimePoint Now) {
   NextProbe = Now + ProbeInterval;
   Hooks.ProbeTarget();
@@ -116,15 +101,15 @@
 
 void FlowAgent::onSearch(base::SocketAddress From, const FrameHeader &Header,
                          const Packet &Packet) {
-  FrameKind Answer = FrameKind::Unsure;
   const bool Foreign =
       Header.Service != base::serviceIdOf(Options.Target.Service);
-  if (State == TargetState::Stopped)
-    Answer = FrameKind::NotHeld;
-  else if (Flows.use(Packet.Flow))
-    Answer = FrameKind::Held;
-  else if (KnowsAllFlows || Foreign || NotHeld.use(Packet.Flow))
-    Answer = FrameKind::NotHeld;
+  const bool Holds =
+      State != TargetState::Stopped && Flows.use(Packet.Flow) != nullptr;
+  const bool Knows = State == TargetState::Stopped || KnowsAllFlows ||
+                     Foreign || NotHeld.use(Packet.Flow) != nullptr;
+  const FrameKind Answer = Holds   ? FrameKind::Held
+                           : Knows ? FrameKind::NotHeld
+                                   : FrameKind::Unsure;
   answer(From, Answer, ReturnReason::None, Packet.Bytes);
 }
 
@@ -310,160 +295,6 @@
   Searched.clear();
 }
 
-HeartbeatVerdict FlowAgent::onHeartbeat(const Heartbeat &Beat,
-                                        base::TimePoint Now) {
-  const bool First = !Heartbeats.known();
-  const HeartbeatVerdict Verdict = Heartbeats.judge(Beat, Options.Target);
-  if (Verdict == HeartbeatVerdict::Late || Verdict == HeartbeatVerdict::Foreign)
-    return Verdict;
-  if (Verdict == HeartbeatVerdict::NewRun && !First) {
-    resetAll(Now); // the flows ended with the earlier run
-    KnowsAllFlows = true;
-    apply(TargetEvent::Replace, "new_run", Now);
-  }
-  // No earlier run of this agent can have opened flows at a target whose first
-  // heartbeat this is.
-  if (Beat.Sequence <= FirstHeartbeat)
-    KnowsAllFlows = true;
-  LastBeat = Now;
-  Slots = std::max(Beat.Slots, 1U);
-  WarmUntil = Now + std::chrono::milliseconds(Beat.WarmupMs);
-  apply(Beat.Draining ? TargetEvent::Drain : TargetEvent::Ready, "heartbeat",
-        Now);
-  return Verdict;
-}
-
-bool FlowAgent::onDeregister(const std::string &TargetId, int64_t StartedAtMs,
-                             base::TimePoint Now) {
-  if (!Heartbeats.end(TargetId, StartedAtMs))
-    return false;
-  // Its last answers may still be on their way, so no flow is reset yet.
-  apply(TargetEvent::End, "deregistered", Now);
-  return true;
-}
-
-void FlowAgent::onProbe(ProbeResult Result, base::TimePoint Now) {
-  if (Result == ProbeResult::NoProcess) {
-    resetAll(Now);
-    KnowsAllFlows = true; // whatever listens there later starts without flows
-    apply(TargetEvent::End, toString(Result), Now);
-  }
-  if (Result == ProbeResult::Healthy && State == TargetState::Unknown) {
-    LastBeat = Now;
-    apply(TargetEvent::Ready, toString(Result), Now);
-  }
-}
-
-void FlowAgent::beginLeaving(base::TimePoint Now) {
-  LeavingItself = true;
-  sendStatuses(Now, Audience::All);
-}
-
-void FlowAgent::apply(TargetEvent Event, std::string_view Cause,
-                      base::TimePoint Now) {
-  const auto Next = internal::nextState(State, Event);
-  if (!Next || *Next == State)
-    return;
-  const TargetState Before = std::exchange(State, *Next);
-  if (Hooks.OnState)
-    Hooks.OnState(Before, State, Cause, Now - LastBeat);
-  sendStatuses(Now, Audience::All);
-}
-
-void FlowAgent::tick(base::TimePoint Now) {
-  const bool Overdue = Now - LastBeat > Options.HeartbeatOverdue;
-  if (Overdue && State == TargetState::Ready)
-    apply(TargetEvent::Overdue, "overdue", Now);
-  const bool Doubtful = State == TargetState::Silent ||
-                        (State == TargetState::Draining && Overdue);
-  if (Doubtful && Now >= NextProbe)
-    start(Now);
-  std::erase_if(Balancers, [&](const Balancer &Each) {
-    return Now - Each.LastHello > BalancerLife;
-  });
-  expireOpenings(Now);
-  settleTrials(Now);
-  const bool Changed = waiting() != SentWaiting || OpenFlows != SentFlows;
-  if (Now >= NextStatus)
-    sendStatuses(Now, Audience::All);
-  else if (Changed && Now >= NextNearStatus)
-    sendStatuses(Now, Audience::Near);
-  if (Now >= NextAging) {
-    Flows.age([&](const FlowKey &, FlowRecord &Old) { stopCounting(Old); });
-    NextAging = Now + FlowMemory;
-  }
-  if (Now >= NextNotHeldAging) {
-    NotHeld.age([](const FlowKey &, bool) {});
-    Searched.age([](const FlowKey &, uint16_t) {});
-    NextNotHeldAging = Now + NotHeldLife;
-  }
-}
-
-void FlowAgent::onHello(base::SocketAddress From, base::Revision Routes,
-                        const Hello &Hello, base::TimePoint Now) {
-  if (Hello.EntryMissing && Hooks.OnEntryMissing)
-    Hooks.OnEntryMissing(From);
-  if (Routes > NewestRoutes) {
-    NewestRoutes = Routes;
-    NewestRoutesAt = Hello.Control;
-    NewestRoutesSince = Now;
-    NextStatus = Now; // the other balancers learn of it at once
-  }
-  const auto Known =
-      std::find_if(Balancers.begin(), Balancers.end(),
-                   [&](const auto &Each) { return Each.Address == From; });
-  if (Known != Balancers.end()) {
-    Known->LastHello = Now;
-    return;
-  }
-  Balancers.push_back(
-      {From, Now, Hello.FailureDomain == Options.FailureDomain});
-  sendStatuses(Now, Audience::All);
-}
-
-TargetStatus FlowAgent::status(base::TimePoint Now) {
-  TargetStatus Status;
-  Status.Incarnation = Options.Incarnation;
-  Status.Sequence = ++StatusSequence;
-  Status.Service = base::serviceIdOf(Options.Target.Service);
-  Status.FailureDomain = Options.FailureDomain;
-  Status.State = LeavingItself && State != TargetState::Stopped
-                     ? TargetState::Leaving
-                     : State;
-  Status.Slots = Slots;
-  Status.Waiting = waiting();
-  Status.Flows = OpenFlows;
-  const auto Warm = std::chrono::duration_cast<std::chrono::milliseconds>(
-      std::max(WarmUntil - Now, base::Duration(0)));
-  Status.WarmupMs = static_cast<uint32_t>(Warm.count());
-  Status.ServiceTimeUs = static_cast<uint32_t>(MeanServiceUs);
-  Status.NewestRoutes = NewestRoutes;
-  Status.NewestRoutesAt = NewestRoutesAt;
-  return Status;
-}
-
-void FlowAgent::sendStatuses(base::TimePoint Now, Audience To) {
-  const auto Body = packStatus(status(Now));
-  FrameHeader Header;
-  Header.Kind = FrameKind::Status;
-  Header.Routes = NewestRoutes;
-  size_t Near = 0;
-  for (const Balancer &Each : Balancers) {
-    Near += Each.Near ? 1 : 0;
-    if (Each.Near || To == Audience::All)
-      Hooks.SendFrame(Each.Address, Header, Body);
-  }
-  SentWaiting = waiting();
-  SentFlows = OpenFlows;
-  const auto Interval = [](base::Duration Shortest, size_t Receivers) {
-    return std::max(Shortest, base::Duration(StatusTimePerBalancer *
-                                             static_cast<int64_t>(Receivers)));
-  };
-  NextNearStatus = Now + Interval(NearStatusInterval, Near);
-  if (To == Audience::All)
-    NextStatus = Now + Interval(StatusInterval, Balancers.size());
-}
-
 uint16_t FlowAgent::balancerIndex(base::SocketAddress Address) {
   const auto Known = std::find(Senders.begin(), Senders.end(), Address);
   if (Known != Senders.end())
--- /dev/null
+++ b/packages/flows/src/FlowSearch.cpp
@@ -0,0 +1,187 @@
+// How a balancer finds the target that holds a flow it does not know.
+#include "burdockstream/flows/FlowBalancer.h"
+
+#include <algorithm>
+
+namespace burdockstream::flows {
+
+namespace {
+
+// Services whose targets may hold flows of Route.
+std::vector<base::ServiceId> servicesOf(const Route &Route) {
+  std::vector<base::ServiceId> Result = Route.Former;
+  for (const WeightedService &Each : Route.Services)
+    Result.push_back(Each.Service);
+  return Result;
+}
+
+} // namespace
+
+void FlowBalancer::search(const Packet &Packet, TargetIndex Excluded,
+                          base::TimePoint Now) {
+  const Route *Route = Routes ? Routes->find(Packet.Flow) : nullptr;
+  if (!Route) {
+    if (!Routes || !StoreFresh)
+      return decide(DecisionKind::DroppedNoRoute, Packet.Flow, NoTarget, 0,
+                    Now);
+    Hooks.SendReset(Packet.Flow, Packet.Acknowledged);
+    return decide(DecisionKind::RefusedNoRoute, Packet.Flow, NoTarget, 0, Now);
+  }
+  auto Found = Searches.find(Packet.Flow);
+  if (Found == Searches.end()) {
+    size_t Asked = 0;
+    for (const base::ServiceId Service : servicesOf(*Route))
+      Asked += Targets.ofService(Service).size();
+    if (!admitSearch(Asked, Now))
+      return;
+    if (Asked == 0) // an empty list proves nothing
+      return decide(DecisionKind::Unsettled, Packet.Flow, NoTarget, 0, Now);
+    Found = Searches.try_emplace(Packet.Flow).first;
+    ask(Found->second, *Route, Excluded, Packet, Now);
+  }
+  Search &Running = Found->second;
+  Running.Acknowledged = Packet.Acknowledged;
+  if (Running.Kept.size() < MaxKept)
+    Running.Kept.emplace_back(Packet.Bytes.begin(), Packet.Bytes.end());
+  for (const TargetIndex Index : Running.Unsure)
+    if (Targets.at(Index))
+      forward(Packet, Index, nullptr, FrameKind::Try);
+}
+
+bool FlowBalancer::admitSearch(size_t Asked, base::TimePoint Now) {
+  const std::chrono::duration<double> Elapsed = Now - SearchFramesAt;
+  SearchFramesAt = Now;
+  SearchFrames = std::min(
+      SearchFrameBurst, SearchFrames + Elapsed.count() * SearchFramesPerSecond);
+  if (SearchFrames < static_cast<double>(Asked)) {
+    ++DroppedSearches;
+    return false;
+  }
+  SearchFrames -= static_cast<double>(Asked);
+  return true;
+}
+
+// Asks all agents that may hold the flow. A lost agent is asked too, but its
+// answer is not waited for.
+void FlowBalancer::ask(Search &Running, const Route &Route,
+                       TargetIndex Excluded, const Packet &Packet,
+                       base::TimePoint Now) {
+  Running.Started = Now;
+  const size_t HeaderBytes =
+      std::min(Self.PacketHeaderBytes, Packet.Bytes.size());
+  FrameHeader Header;
+  Header.Kind = FrameKind::Search;
+  Header.Routes = Routes->Revision;
+  for (const base::ServiceId Service : servicesOf(Route))
+    for (const TargetIndex Index : Targets.ofService(Service)) {
+      if (Index == Excluded)
+        continue;
+      const Target &Asked = *Targets.at(Index);
+      // The flows of a process that has ended are gone with it.
+      if (Asked.Heard && Asked.Status.State == TargetState::Stopped)
+        continue;
+      Header.Service = Service;
+      Hooks.SendFrame(Asked.Agent, Header, Packet.Bytes.first(HeaderBytes));
+      if (!isLost(Asked, Now))
+        Running.Open.push_back(Index);
+    }
+  decide(DecisionKind::Searched, Packet.Flow, Excluded, Running.Open.size(),
+         Now);
+}
+
+void FlowBalancer::sendKept(const Search &Running, TargetIndex Index,
+                            FrameKind Kind) {
+  const Target &To = *Targets.at(Index);
+  FrameHeader Header;
+  Header.Kind = Kind;
+  Header.Service = To.Service;
+  Header.Routes = Routes ? Routes->Revision : 0;
+  for (const auto &Bytes : Running.Kept)
+    Hooks.SendFrame(To.Agent, Header, Bytes);
+}
+
+void FlowBalancer::finishSearch(const FlowKey &Flow, const Search &Done,
+                                base::TimePoint Now) {
+  const bool Settled = isSettled(Now);
+  if (Settled)
+    Hooks.SendReset(Flow, Done.Acknowledged);
+  decide(Settled ? DecisionKind::ResetUnheld : DecisionKind::Unsettled, Flow,
+         NoTarget, 0, Now);
+  Flows.erase(Flow);
+}
+
+void FlowBalancer::onAgentAnswer(base::SocketAddress Agent,
+                                 const FrameHeader &Header,
+                                 const Packet &Packet, base::TimePoint Now) {
+  const TargetIndex Index = Targets.indexOf(Agent);
+  if (Index == NoTarget)
+    return;
+  switch (Header.Kind) {
+  case FrameKind::Returned:
+    return onReturned(Index, Header.Reason, Packet, Now);
+  case FrameKind::Held:
+    return onHeld(Index, Packet.Flow, Now);
+  case FrameKind::NotHeld:
+    return onNotHeld(Index, Packet, Now);
+  case FrameKind::Unsure:
+    return onUnsure(Index, Packet.Flow);
+  default:
+    return;
+  }
+}
+
+void FlowBalancer::onReturned(TargetIndex Agent, ReturnReason Reason,
+                              const Packet &Packet, base::TimePoint Now) {
+  FlowEntry *Entry = Flows.use(Packet.Flow);
+  if (!Packet.Opens) {
+    if (Entry && Entry->Target != Agent && Targets.at(Entry->Target))
+      return forward(Packet, Entry->Target, nullptr);
+    if (Entry)
+      Flows.erase(Packet.Flow);
+    return search(Packet, Agent, Now);
+  }
+  if (!Entry)
+    return;
+  ++Entry->Refusals;
+  // A copy that was placed elsewhere since may be accepted there. With old
+  // routes the flow must wait for the newer ones; the client sends a copy.
+  if (Entry->Target != Agent || Reason == ReturnReason::OldRoutes)
+    return;
+  if (const Route *Route = Routes ? Routes->find(Packet.Flow) : nullptr)
+    place(Packet, *Route, *Entry, Now);
+}
+
+void FlowBalancer::onUnsure(TargetIndex Agent, const FlowKey &Flow) {
+  const auto Found = Searches.find(Flow);
+  if (Found == Searches.end())
+    return;
+  Found->second.Unsure.push_back(Agent);
+  sendKept(Found->second, Agent, FrameKind::Try);
+}
+
+void FlowBalancer::onHeld(TargetIndex Agent, const FlowKey &Flow,
+                          base::TimePoint Now) {
+  // Without a search the holder is known; a later answer may be an assumption.
+  const auto Found = Searches.find(Flow);
+  if (Found == Searches.end())
+    return;
+  Flows.insert(Flow).Target = Agent;
+  sendKept(Found->second, Agent, FrameKind::Forward);
+  Searches.erase(Found);
+  decide(DecisionKind::Found, Flow, Agent, 0, Now);
+}
+
+void FlowBalancer::onNotHeld(TargetIndex Agent, const Packet &Packet,
+                             base::TimePoint Now) {
+  const auto Found = Searches.find(Packet.Flow);
+  if (Found == Searches.end())
+    return;
+  std::erase(Found->second.Open, Agent);
+  std::erase(Found->second.Unsure, Agent);
+  if (!Found->second.Open.empty())
+    return;
+  finishSearch(Packet.Flow, Found->second, Now);
+  Searches.erase(Found);
+}
+
+} // namespace burdockstream::flows
