--- a/packages/daemon/src/main.cpp
+++ b/packages/daemon/src/main.cpp
@@ -18,7 +18,7 @@
 
 using namespace burdockstream;
 
-// Exit codes, also listed in docs/OPERATING.md.
+// Exit codes, also listed in docs/OPERATIONS.md.
 constexpr int ExitSettings = 2; // the settings are missing or wrong
 constexpr int ExitStart = 3;    // an address cannot be used
 constexpr int ExitForced = 4;   // a second SIGTERM ended the shutdown early
