Soak flow services with real processes and faults from outside

Cause: the cores' tests see neither sockets nor signals nor the store. A test of the cores is made stricter: a balancer that starts must not be known to the agents already.

--- a/packages/flows/test/BalancerTest.cpp
+++ b/packages/flows/test/BalancerTest.cpp
@@ -115,6 +115,11 @@
 TEST_F(BalancerTest, SendsNoResetBeforePeersNamedTheirAgents) {
   const FlowKey Flow = World::flow(40001);
   W.open(0, Flow);
+  W.Balancers[1].Running = false; // until agents have forgotten it
+  for (int I = 0; I < 4; ++I) {
+    W.run(seconds(1));
+    beatAll();
+  }
   W.restartBalancer(1);
   W.setRoutes(1, 10, {{ShopAddress, std::string(Shop)}});
   FlowBalancer &Fresh = *W.Balancers[1].Core;
--- /dev/null
+++ b/testing/flow_soak/src/FlowSoak.cpp
@@ -0,0 +1,224 @@
+#include "FlowSoak.h"
+
+#include "Process.h"
+#include "burdockstream/base/Random.h"
+#include "burdockstream/testing/PlatformStoreStandIn.h"
+
+#include <csignal>
+#include <fstream>
+#include <glib.h>
+#include <glog/logging.h>
+
+namespace burdockstream::flowsoak {
+
+namespace {
+
+using std::chrono::milliseconds;
+using testing::StoreFault;
+
+constexpr size_t BalancerCount = 3;
+constexpr size_t AgentCount = 5; // two of them of the second service
+constexpr size_t FlowCount = 40;
+constexpr base::SocketAddress ShopAddress{0xC6120001, 443};
+constexpr base::SocketAddress VaultAddress{0xC6120002, 443};
+constexpr base::SocketAddress StoreAddress{0x7F140001, 18169};
+constexpr const char *Routes =
+    R"({"version":3,"routes":[)"
+    R"({"name":"a","host":"198.18.0.1","prefix":"/443/","route_type":"idempotent","service":"shop"},)"
+    R"({"name":"b","host":"198.18.0.2","prefix":"/443/","route_type":"download","service":"vault"}],)"
+    R"("limits":{"idle_timeout_ms":15000}})";
+
+// An agent that is away for longer may count as lost, and its flows may be
+// reset; pauses stay below, so that no reset of an open flow is allowed.
+constexpr uint64_t LongestPauseMs = 900;
+constexpr milliseconds RestartDelay{300};
+constexpr milliseconds CalmTime{6'000};
+constexpr int64_t ServedWithinMs = 2'500;
+
+class Soak {
+public:
+  explicit Soak(const SoakOptions &InitOptions)
+      : Options(InitOptions), Random(InitOptions.Seed), Clients(nullptr) {
+    CHECK(Store.listen(StoreAddress).has_value());
+    Store.put("op/config", Routes);
+    for (size_t I = 0; I < AgentCount; ++I) {
+      const bool Shop = I < 3;
+      Targets.push_back(std::make_unique<SoakTarget>(
+          I, Shop ? "shop" : "vault", Shop ? ShopAddress : VaultAddress,
+          Report.Found));
+    }
+    for (size_t I = 0; I < BalancerCount + AgentCount; ++I)
+      Processes.push_back(start(I));
+  }
+
+  SoakReport run() {
+    const guint Beats = every(400, [this] {
+      for (const auto &Target : Targets)
+        Target->beat();
+    });
+    e2e::runLoopFor(milliseconds(1500));
+    Clients = std::make_unique<SoakClients>(
+        FlowCount, std::vector{ShopAddress, VaultAddress},
+        [this](const flows::FlowKey &Flow) { return route(Flow); },
+        [this](const flows::FlowKey &Flow) { return isHeld(Flow); },
+        Report.Found);
+    const guint Ticks = every(20, [this] { Clients->tick(); });
+    e2e::runLoopFor(milliseconds(1000));
+    const gint64 End = g_get_monotonic_time() +
+                       Options.FaultTime / std::chrono::microseconds(1);
+    while (g_get_monotonic_time() < End) {
+      inject();
+      ++Report.Faults;
+      e2e::runLoopFor(milliseconds(200 + below(600)));
+    }
+    Store.setFault(StoreFault::None);
+    e2e::runLoopFor(CalmTime);
+    Report.Unserved = Clients->unserved(ServedWithinMs);
+    Report.Answers = Clients->answers();
+    g_source_remove(Ticks);
+    g_source_remove(Beats);
+    return Report;
+  }
+
+private:
+  uint64_t below(uint64_t Bound) { return base::randomBelow(Random, Bound); }
+
+  static guint every(guint Ms, std::function<void()> Run) {
+    return g_timeout_add_full(
+        G_PRIORITY_DEFAULT, Ms,
+        [](gpointer Data) -> gboolean {
+          (*static_cast<std::function<void()> *>(Data))();
+          return G_SOURCE_CONTINUE;
+        },
+        new std::function<void()>(std::move(Run)),
+        [](gpointer Data) {
+          delete static_cast<std::function<void()> *>(Data);
+        });
+  }
+
+  static void later(milliseconds Delay, std::function<void()> Run) {
+    g_timeout_add_full(
+        G_PRIORITY_DEFAULT, static_cast<guint>(Delay.count()),
+        [](gpointer Data) -> gboolean {
+          (*static_cast<std::function<void()> *>(Data))();
+          return G_SOURCE_REMOVE;
+        },
+        new std::function<void()>(std::move(Run)),
+        [](gpointer Data) {
+          delete static_cast<std::function<void()> *>(Data);
+        });
+  }
+
+  // The fabric: a hash over all balancers; a running one is not preferred, so
+  // that packets also reach those that are away.
+  base::SocketAddress route(const flows::FlowKey &Flow) const {
+    return place(1, (flows::hashOf(Flow) + Rotation) % BalancerCount, DataPort);
+  }
+
+  bool isHeld(const flows::FlowKey &Flow) const {
+    for (const auto &Target : Targets)
+      if (Target->holds(Flow))
+        return true;
+    return false;
+  }
+
+  std::unique_ptr<e2e::Process> start(size_t Index) {
+    const bool IsBalancer = Index < BalancerCount;
+    const size_t Member = IsBalancer ? Index : Index - BalancerCount;
+    const std::string Name =
+        (IsBalancer ? "balancer-" : "agent-") + std::to_string(Member);
+    const std::string Path = Options.LogFolder + "/" + Name;
+    std::ofstream(Path + ".json")
+        << (IsBalancer ? balancerSettings(Member) : agentSettings(Member));
+    return std::make_unique<e2e::Process>(
+        e2e::Command{"burdockstream-flowd",
+                     {"--settings=" + Path + ".json"},
+                     Path + ".err"});
+  }
+
+  static std::string quoted(base::SocketAddress Address) {
+    return "\"" + base::toString(Address) + "\"";
+  }
+
+  static std::string common(const std::string &Role, uint8_t Group, size_t I) {
+    return "{\"role\":\"" + Role + "\",\"name\":\"" + Role + "-" +
+           std::to_string(I) + "\",\"failure_domain\":\"z\",\"data_address\":" +
+           quoted(place(Group, I, DataPort)) +
+           ",\"control_address\":" + quoted(place(Group, I, ControlPort)) +
+           ",\"store_address\":" + quoted(StoreAddress) +
+           ",\"grace_period_s\":6,";
+  }
+
+  static std::string balancerSettings(size_t I) {
+    return common("balancer", 1, I) +
+           "\"ready_address\":" + quoted(place(1, I, ReadyPort)) +
+           ",\"seed_address\":" + quoted(place(1, I, HeartbeatPort)) +
+           ",\"peers\":[" +
+           quoted(place(1, (I + 1) % BalancerCount, HeartbeatPort)) + "]}";
+  }
+
+  static std::string agentSettings(size_t I) {
+    return common("agent", 2, I) + "\"agent\":{\"service\":\"" +
+           (I < 3 ? "shop" : "vault") +
+           "\",\"target_address\":" + quoted(place(2, I, TargetPort)) +
+           ",\"outbound_address\":" + quoted(place(2, I, OutboundPort)) +
+           ",\"heartbeat_address\":" + quoted(place(2, I, HeartbeatPort)) +
+           ",\"heartbeat_interval_ms\":400,\"address_reuse_delay_s\":2}}";
+  }
+
+  void restart(size_t Index) {
+    later(RestartDelay, [this, Index] {
+      if (Processes[Index]->hasEnded())
+        Processes[Index] = start(Index);
+      else
+        restart(Index); // its graceful end takes longer
+    });
+  }
+
+  void inject() {
+    const size_t Index = below(Processes.size());
+    const uint64_t Pause = 100 + below(LongestPauseMs - 100);
+    switch (below(8)) {
+    case 0:
+      Processes[Index]->signal(SIGKILL);
+      return restart(Index);
+    case 1:
+    case 2:
+      Processes[Index]->signal(SIGTERM);
+      return restart(Index);
+    case 3:
+      Processes[Index]->signal(SIGSTOP);
+      return later(milliseconds(Pause),
+                   [this, Index] { Processes[Index]->signal(SIGCONT); });
+    case 4: {
+      constexpr StoreFault Kinds[] = {StoreFault::Busy, StoreFault::Reset,
+                                      StoreFault::Silent,
+                                      StoreFault::LostAnswer};
+      Store.setFault(Kinds[below(4)]);
+      return later(milliseconds(2 * Pause),
+                   [this] { Store.setFault(StoreFault::None); });
+    }
+    case 5:
+      return Store.lapse();
+    case 6:
+      return Store.compact();
+    default:
+      ++Rotation; // the fabric moves all flows to other balancers
+    }
+  }
+
+  SoakOptions Options;
+  base::RandomSource Random;
+  SoakReport Report;
+  testing::PlatformStoreStandIn Store;
+  std::vector<std::unique_ptr<SoakTarget>> Targets;
+  std::vector<std::unique_ptr<e2e::Process>> Processes;
+  std::unique_ptr<SoakClients> Clients;
+  uint64_t Rotation = 0;
+};
+
+} // namespace
+
+SoakReport runSoak(const SoakOptions &Options) { return Soak(Options).run(); }
+
+} // namespace burdockstream::flowsoak
--- /dev/null
+++ b/testing/flow_soak/src/FlowSoak.h
@@ -0,0 +1,33 @@
+// A randomized soak of flow services: the real daemon as separate processes on
+// loopback, faults injected from outside, and the promises checked from what
+// clients and targets see.
+#ifndef BURDOCKSTREAM_FLOWSOAK_FLOWSOAK_H
+#define BURDOCKSTREAM_FLOWSOAK_FLOWSOAK_H
+
+#include "SoakParts.h"
+
+#include <chrono>
+#include <cstdint>
+#include <string>
+
+namespace burdockstream::flowsoak {
+
+struct SoakOptions {
+  uint64_t Seed = 1;
+  std::chrono::milliseconds FaultTime{8'000};
+  std::string LogFolder; // receives settings and standard errors
+};
+
+struct SoakReport {
+  Violations Found;
+  uint64_t Answers = 0;
+  size_t Faults = 0;
+  size_t Unserved = 0; // flows without an answer after the faults have ended
+};
+
+// Runs one seed. Thread safety: loop thread only.
+SoakReport runSoak(const SoakOptions &Options);
+
+} // namespace burdockstream::flowsoak
+
+#endif
--- /dev/null
+++ b/testing/flow_soak/src/SoakParts.cpp
@@ -0,0 +1,257 @@
+#include "SoakParts.h"
+
+#include "PlatformPackets.h"
+#include "burdockstream/base/Hash.h"
+#include "burdockstream/base/JsonText.h"
+
+#include <cstring>
+#include <glib.h>
+#include <glog/logging.h>
+
+namespace burdockstream::flowsoak {
+
+namespace {
+
+// The platform's header; the product's codec does not write client packets.
+constexpr size_t HeaderBytes = 32;
+constexpr size_t EchoAt = 12;
+constexpr size_t LengthAt = 16;
+constexpr size_t AcknowledgedAt = 22;
+constexpr size_t FlagsAt = 26;
+constexpr size_t PadAt = 27;
+constexpr size_t SumAt = 28;
+constexpr uint8_t SynFlag = 8;
+constexpr uint8_t AckFlag = 16;
+constexpr uint8_t BouncedFlag = 128;
+
+constexpr int64_t RequestPauseMs = 120;
+constexpr int64_t SynWaitMs = 1'400;
+constexpr int64_t LongestWaitMs = 1'600;
+
+int64_t nowMs() { return g_get_monotonic_time() / 1000; }
+
+template <typename ValueT>
+void put(std::vector<uint8_t> &Out, size_t At, ValueT Value) {
+  std::memcpy(Out.data() + At, &Value, sizeof(Value));
+}
+
+// Covers all fields but echo, pad and the bounced mark.
+uint32_t sumOf(std::span<const uint8_t> Bytes) {
+  std::string Copy(Bytes.begin(), Bytes.end());
+  std::memset(Copy.data() + EchoAt, 0, 4);
+  Copy[PadAt] = 0;
+  Copy[FlagsAt] = static_cast<char>(Copy[FlagsAt] & ~BouncedFlag);
+  std::memset(Copy.data() + SumAt, 0, 4);
+  return static_cast<uint32_t>(base::hashBytes(Copy, 77));
+}
+
+bool isIntact(std::span<const uint8_t> Bytes) {
+  uint32_t Sum = 0;
+  std::memcpy(&Sum, Bytes.data() + SumAt, sizeof(Sum));
+  return Sum == sumOf(Bytes);
+}
+
+std::vector<uint8_t> makePacket(base::SocketAddress From,
+                                base::SocketAddress To, uint8_t Flags,
+                                uint32_t Acknowledged, uint32_t Request) {
+  const uint16_t Length = Request == 0 ? 0 : sizeof(Request);
+  std::vector<uint8_t> Bytes(HeaderBytes + Length);
+  put(Bytes, 0, From.Ip);
+  put(Bytes, 4, To.Ip);
+  put(Bytes, 8, To.Port);
+  put(Bytes, 10, From.Port);
+  put(Bytes, LengthAt, Length);
+  put(Bytes, 18, Request * 4); // sequence
+  put(Bytes, AcknowledgedAt, Acknowledged);
+  Bytes[FlagsAt] = Flags;
+  if (Request != 0)
+    put(Bytes, HeaderBytes, Request);
+  put(Bytes, SumAt, sumOf(Bytes));
+  return Bytes;
+}
+
+uint32_t requestOf(std::span<const uint8_t> Bytes) {
+  uint32_t Request = 0;
+  if (Bytes.size() >= HeaderBytes + sizeof(Request))
+    std::memcpy(&Request, Bytes.data() + HeaderBytes, sizeof(Request));
+  return Request;
+}
+
+bool isBefore(const flows::FlowKey &A, const flows::FlowKey &B) {
+  return std::pair(A.Client, A.Service) < std::pair(B.Client, B.Service);
+}
+
+std::unique_ptr<network::UdpSocket> openSocket(base::SocketAddress Address) {
+  auto Opened = network::UdpSocket::open(Address);
+  CHECK(Opened.has_value()) << Opened.error().Message;
+  return std::move(Opened.value());
+}
+
+} // namespace
+
+SoakTarget::SoakTarget(size_t InitIndex, std::string InitService,
+                       base::SocketAddress InitServiceAddress,
+                       Violations &InitFound)
+    : Index(InitIndex), Service(std::move(InitService)),
+      ServiceAddress(InitServiceAddress), Found(InitFound),
+      Codec(platform::packetCodec()),
+      Socket(openSocket(place(2, Index, TargetPort))),
+      Health([](const http::ServerRequest &,
+                const std::shared_ptr<http::Responder> &Out) {
+        Out->send({200, "text/plain", "ok"});
+      }),
+      Held(isBefore) {
+  CHECK(Health.listen(place(2, Index, TargetPort)).has_value());
+  Socket->attach(nullptr, [this](std::span<uint8_t> Bytes,
+                                 base::SocketAddress) { onPacket(Bytes); });
+}
+
+void SoakTarget::beat() {
+  Json::Value Body;
+  Body["service"] = Service;
+  Body["address"] = base::toString(place(2, Index, TargetPort));
+  Body["zone"] = "z";
+  Body["version"] = "v1";
+  Body["max_concurrency"] = 2;
+  Body["state"] = "ready";
+  Body["warmup_remaining_ms"] = 0;
+  Body["sequence"] = Json::UInt64(++Sequence);
+  Body["born"] = Json::Int64(1000 + static_cast<int64_t>(Index));
+  const std::string Url = "http://" +
+                          base::toString(place(2, Index, HeartbeatPort)) +
+                          "/api/Endpoints.Heartbeat/i-" + std::to_string(Index);
+  Client.send({Url, base::compactJson(Body), {}, std::chrono::seconds(1)},
+              [](const base::Result<http::HttpResponse> &) {});
+}
+
+void SoakTarget::onPacket(std::span<uint8_t> Bytes) {
+  const auto Packet = Codec.Decode(Bytes, flows::Sender::Client);
+  if (!Packet || !isIntact(Bytes) || Packet->Returned) {
+    Found.push_back("a target got a packet that its client did not write so");
+    return;
+  }
+  if (Packet->Flow.Service != ServiceAddress) {
+    Found.push_back("a packet reached a target of another service");
+    return;
+  }
+  const base::SocketAddress Back = place(2, Index, OutboundPort);
+  if (Packet->Opens)
+    Held.insert(Packet->Flow);
+  if (!holds(Packet->Flow)) {
+    Bytes[FlagsAt] |= BouncedFlag;
+    Bytes[PadAt] = 0;
+    Socket->send(Bytes, Back);
+    return;
+  }
+  const uint32_t Request = requestOf(Bytes);
+  if (Packet->Opens || Request != 0)
+    Socket->send(makePacket(Packet->Flow.Service, Packet->Flow.Client,
+                            Packet->Opens ? SynFlag | AckFlag : AckFlag,
+                            Request * 4, Request),
+                 Back);
+}
+
+SoakClients::SoakClients(
+    size_t Count, std::vector<base::SocketAddress> InitServices,
+    std::function<base::SocketAddress(const flows::FlowKey &)> InitRoute,
+    std::function<bool(const flows::FlowKey &)> InitIsHeld,
+    Violations &InitFound)
+    : Services(std::move(InitServices)), Route(std::move(InitRoute)),
+      IsHeld(std::move(InitIsHeld)), Found(InitFound),
+      Codec(platform::packetCodec()), Socket(openSocket(place(3, 0, DataPort))),
+      Flows(Count) {
+  for (size_t I = 0; I < Count; ++I) {
+    Flows[I].Key.Service = Services[I % Services.size()];
+    Flows[I].LastAnswerMs = nowMs();
+    reopen(Flows[I]);
+  }
+  Socket->attach(nullptr, [this](std::span<uint8_t> Bytes,
+                                 base::SocketAddress) { onPacket(Bytes); });
+}
+
+void SoakClients::reopen(SoakFlow &Flow) {
+  Flow.Key.Client = {place(3, 0, 0).Ip, ++NextPort};
+  Flow.Open = false;
+  Flow.Copies = 0;
+  Flow.Request = 0;
+  Flow.SentAtMs = nowMs();
+  send(Flow, SynFlag, 0, 0);
+}
+
+void SoakClients::send(const SoakFlow &Flow, uint8_t Flags,
+                       uint32_t Acknowledged, uint32_t Request) {
+  Socket->send(makePacket(Flow.Key.Client, Flow.Key.Service, Flags,
+                          Acknowledged, Request),
+               Route(Flow.Key));
+}
+
+void SoakClients::tick() {
+  const int64_t Now = nowMs();
+  for (SoakFlow &Flow : Flows) {
+    const int64_t Waited = Now - Flow.SentAtMs;
+    if (!Flow.Open) {
+      constexpr int64_t CopyAfterMs[] = {200, 600};
+      if (Waited > SynWaitMs)
+        reopen(Flow);
+      else if (Flow.Copies < 2 && Waited > CopyAfterMs[Flow.Copies])
+        send(Flow, SynFlag, static_cast<uint32_t>(++Flow.Copies), 0);
+      continue;
+    }
+    const bool Answered = Flow.LastAnswerMs >= Flow.SentAtMs;
+    if (Answered && Now - Flow.LastAnswerMs > RequestPauseMs) {
+      ++Flow.Request;
+      Flow.WaitMs = 200;
+    } else if (Answered || Waited < Flow.WaitMs) {
+      continue;
+    } else {
+      Flow.WaitMs = std::min(2 * Flow.WaitMs, LongestWaitMs);
+    }
+    Flow.SentAtMs = Now;
+    send(Flow, AckFlag, 1, Flow.Request);
+  }
+}
+
+void SoakClients::onPacket(std::span<uint8_t> Bytes) {
+  const auto Packet = Codec.Decode(Bytes, flows::Sender::Target);
+  if (!Packet) {
+    Found.push_back("a client got bytes that are no packet");
+    return;
+  }
+  SoakFlow *Flow = nullptr;
+  for (SoakFlow &Each : Flows)
+    if (Each.Key == Packet->Flow)
+      Flow = &Each;
+  if (!Flow)
+    return; // of an earlier flow of the same client
+  if (Packet->Aborts) {
+    if (Flow->Open && IsHeld(Flow->Key))
+      Found.push_back("an open flow was reset although its target holds it: " +
+                      flows::toString(Flow->Key));
+    return reopen(*Flow);
+  }
+  if (!isIntact(Bytes)) {
+    Found.push_back("a client got a packet that its target did not write so");
+    return;
+  }
+  if (Packet->Accepts && !Flow->Open) {
+    Flow->Open = true;
+    Flow->Request = 1;
+    Flow->WaitMs = 200;
+    Flow->SentAtMs = nowMs();
+    send(*Flow, AckFlag, 1, Flow->Request);
+  } else if (requestOf(Bytes) == Flow->Request && Flow->Request != 0) {
+    Flow->LastAnswerMs = nowMs();
+    ++Answers;
+  } else if (requestOf(Bytes) > Flow->Request) {
+    Found.push_back("a client got an answer to a request that it did not send");
+  }
+}
+
+size_t SoakClients::unserved(int64_t Ms) const {
+  size_t Count = 0;
+  for (const SoakFlow &Flow : Flows)
+    Count += nowMs() - Flow.LastAnswerMs > Ms ? 1 : 0;
+  return Count;
+}
+
+} // namespace burdockstream::flowsoak
--- /dev/null
+++ b/testing/flow_soak/src/SoakParts.h
@@ -0,0 +1,104 @@
+// The outside of a soak: targets and clients that speak the platform's packets,
+// and check what burdockstream carries between them.
+#ifndef BURDOCKSTREAM_FLOWSOAK_SOAKPARTS_H
+#define BURDOCKSTREAM_FLOWSOAK_SOAKPARTS_H
+
+#include "burdockstream/flows/Packet.h"
+#include "burdockstream/http/HttpClient.h"
+#include "burdockstream/http/HttpServer.h"
+#include "burdockstream/network/UdpSocket.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace burdockstream::flowsoak {
+
+inline constexpr uint16_t DataPort = 18172;
+inline constexpr uint16_t ControlPort = 17720;
+inline constexpr uint16_t ReadyPort = 18167;
+inline constexpr uint16_t HeartbeatPort = 18166;
+inline constexpr uint16_t TargetPort = 18165;
+inline constexpr uint16_t OutboundPort = 18162;
+
+// Address of member Index of group Group on loopback.
+inline base::SocketAddress place(uint8_t Group, size_t Index, uint16_t Port) {
+  return {0x7F140000U | uint32_t{Group} << 8 | static_cast<uint32_t>(Index + 1),
+          Port};
+}
+
+// What went wrong, in the words of the promise that was broken.
+using Violations = std::vector<std::string>;
+
+// A target that holds flows and answers each request with its own bytes.
+class SoakTarget {
+public:
+  SoakTarget(size_t Index, std::string InitService,
+             base::SocketAddress InitServiceAddress, Violations &InitFound);
+  void beat();
+  bool holds(const flows::FlowKey &Flow) const { return Held.count(Flow) != 0; }
+
+private:
+  void onPacket(std::span<uint8_t> Bytes);
+
+  size_t Index;
+  std::string Service;
+  base::SocketAddress ServiceAddress;
+  Violations &Found;
+  flows::PacketCodec Codec;
+  std::unique_ptr<network::UdpSocket> Socket;
+  http::HttpServer Health;
+  http::HttpClient Client;
+  std::set<flows::FlowKey,
+           bool (*)(const flows::FlowKey &, const flows::FlowKey &)>
+      Held;
+  uint64_t Sequence = 0;
+};
+
+// One client that keeps a flow open and sends a request after the other.
+struct SoakFlow {
+  flows::FlowKey Key;
+  bool Open = false;
+  int Copies = 0;
+  int64_t SentAtMs = 0;
+  int64_t WaitMs = 200;
+  int64_t LastAnswerMs = 0;
+  uint32_t Request = 0; // number of the one that waits for its answer
+};
+
+class SoakClients {
+public:
+  // Route returns the balancer that the fabric gives a packet to.
+  SoakClients(
+      size_t Flows, std::vector<base::SocketAddress> InitServices,
+      std::function<base::SocketAddress(const flows::FlowKey &)> InitRoute,
+      std::function<bool(const flows::FlowKey &)> InitIsHeld,
+      Violations &InitFound);
+  void tick();
+  // Flows without an answer in the last Ms.
+  size_t unserved(int64_t Ms) const;
+  uint64_t answers() const { return Answers; }
+
+private:
+  void reopen(SoakFlow &Flow);
+  void send(const SoakFlow &Flow, uint8_t Flags, uint32_t Acknowledged,
+            uint32_t Request);
+  void onPacket(std::span<uint8_t> Bytes);
+
+  std::vector<base::SocketAddress> Services;
+  std::function<base::SocketAddress(const flows::FlowKey &)> Route;
+  std::function<bool(const flows::FlowKey &)> IsHeld;
+  Violations &Found;
+  flows::PacketCodec Codec;
+  std::unique_ptr<network::UdpSocket> Socket;
+  std::vector<SoakFlow> Flows;
+  uint16_t NextPort = 1024;
+  uint64_t Answers = 0;
+};
+
+} // namespace burdockstream::flowsoak
+
+#endif
--- /dev/null
+++ b/testing/flow_soak/src/main.cpp
@@ -0,0 +1,29 @@
+// flow_soak: runs seeds one after another and prints a line for each.
+#include "FlowSoak.h"
+
+#include <cstdlib>
+#include <gflags/gflags.h>
+#include <iostream>
+
+DEFINE_uint64(seed, 1, "the first seed");
+DEFINE_uint64(seeds, 1, "how many seeds to run");
+DEFINE_int32(fault_ms, 8000, "how long faults are injected for each seed");
+DEFINE_string(logs, "/tmp", "folder for settings and standard errors");
+
+int main(int argc, char **argv) {
+  gflags::SetUsageMessage("flow_soak [--seed=N] [--seeds=N] [--fault_ms=N]\n"
+                          "soaks flow services with faults from outside");
+  gflags::ParseCommandLineFlags(&argc, &argv, true);
+  bool Clean = true;
+  for (uint64_t Seed = FLAGS_seed; Seed < FLAGS_seed + FLAGS_seeds; ++Seed) {
+    const auto Report = burdockstream::flowsoak::runSoak(
+        {Seed, std::chrono::milliseconds(FLAGS_fault_ms), FLAGS_logs});
+    Clean = Clean && Report.Found.empty() && Report.Unserved == 0;
+    std::cout << "seed " << Seed << ": " << Report.Answers << " answers, "
+              << Report.Faults << " faults, " << Report.Found.size()
+              << " violations, " << Report.Unserved << " flows unserved\n";
+    for (const std::string &Each : Report.Found)
+      std::cout << "  " << Each << "\n";
+  }
+  return Clean ? EXIT_SUCCESS : EXIT_FAILURE;
+}
