Measure the flow path, report a daemon's state over HTTP

bench/datapath gains the balancer and the agent of flow services, with bytes a flow and allocations a datagram. Daemons answer /v1/daemon and /v1/flow, and export ages, store calls and socket counters. One copy each of the random source, the thread's processor time, the platform's packet writer and the export of counters.

--- a/bench/datapath/DatapathBench.cpp
+++ b/bench/datapath/DatapathBench.cpp
@@ -3,17 +3,16 @@
 // counts. Prints one JSON line per path and round.
 #include "CallerPath.h"
 #include "DataSocket.h"
+#include "FlowPath.h"
+#include "MeasuredPath.h"
 
 #include "burdockstream/bench/RelayBench.h"
 #include "burdockstream/network/ProxyHeader.h"
 
 #include <algorithm>
 #include <cstdio>
-#include <cstdlib>
-#include <ctime>
 #include <gflags/gflags.h>
 #include <glog/logging.h>
-#include <new>
 #include <vector>
 
 DEFINE_uint64(datagrams, 500000, "Datagrams per path and round");
@@ -27,26 +26,9 @@
 
 namespace {
 
-uint64_t Allocations = 0; // the program has one thread
-
-void *allocate(size_t Size) {
-  ++Allocations;
-  if (void *Memory = std::malloc(Size))
-    return Memory;
-  std::abort();
-}
-
-} // namespace
-
-void *operator new(size_t Size) { return allocate(Size); }
-void operator delete(void *Memory) noexcept { std::free(Memory); }
-void operator delete(void *Memory, size_t) noexcept { std::free(Memory); }
-
-namespace {
-
 using namespace burdockstream;
+using namespace datapath;
 
-constexpr base::SocketAddress AnyLoopbackPort{0x7f000001, 0};
 constexpr uint32_t FirstServiceIp = 0x0a640001;
 constexpr uint32_t FirstCallerIp = 0x0b000001;
 constexpr uint16_t ServicePort = 5683;
@@ -54,25 +36,6 @@
 constexpr size_t ManyServices = 3300;
 constexpr uint32_t CallersPerIp = 1000;
 
-struct PathFigures {
-  bench::RelayFigures Relay;
-  uint64_t Allocations = 0;
-};
-
-double threadCpuSeconds() {
-  timespec Time{};
-  clock_gettime(CLOCK_THREAD_CPUTIME_ID, &Time);
-  return static_cast<double>(Time.tv_sec) +
-         static_cast<double>(Time.tv_nsec) / 1e9;
-}
-
-std::unique_ptr<network::UdpSocket>
-openSocket(const network::UdpOptions &Options = {}) {
-  auto Opened = network::UdpSocket::open(AnyLoopbackPort, Options);
-  CHECK(Opened.has_value()) << Opened.error().Message;
-  return std::move(Opened.value());
-}
-
 base::SocketAddress callerOf(uint64_t Flow) {
   return {FirstCallerIp + static_cast<uint32_t>(Flow / CallersPerIp),
           static_cast<uint16_t>(10000 + Flow % CallersPerIp)};
@@ -135,15 +98,6 @@
   size_t Slot = 0;
 };
 
-uint64_t drain(network::UdpSocket &Sink) {
-  uint64_t Count = 0;
-  const network::UdpSocket::Handler Ignore = [](std::span<uint8_t>,
-                                                base::SocketAddress) {};
-  while (const size_t Batch = Sink.receiveBatch(Ignore))
-    Count += Batch;
-  return Count;
-}
-
 PathFigures measureCallerPath(size_t Services) {
   const auto Sink = openSocket();
   network::UdpOptions Options; // as daemon::DataSocket
@@ -167,12 +121,10 @@
       Source->send(Feed.next(), Socket->localAddress());
     Source->flush();
     Figures.Relay.Offered += network::MaxBatch;
-    const uint64_t Before = Allocations;
-    const double Start = threadCpuSeconds();
-    Socket->receiveBatch(Handle);
-    Socket->flush();
-    Figures.Relay.CpuSeconds += threadCpuSeconds() - Start;
-    Figures.Allocations += Allocations - Before;
+    measureStep(Figures, [&] {
+      Socket->receiveBatch(Handle);
+      Socket->flush();
+    });
     Figures.Relay.Delivered += drain(*Sink);
   }
   return Figures;
@@ -199,14 +151,16 @@
   std::printf("{\"path\":\"%s\",\"services\":%zu,\"payload_bytes\":%u,"
               "\"flows\":%u,\"offered\":%llu,\"delivered\":%llu,"
               "\"per_second_per_core\":%.0f,\"nanoseconds\":%.0f,"
-              "\"share_of_bare\":%.3f,\"allocations_per_datagram\":%.6f}\n",
+              "\"share_of_bare\":%.3f,\"allocations_per_datagram\":%.6f,"
+              "\"bytes_per_flow\":%.0f}\n",
               Name, Services, FLAGS_payload_bytes, FLAGS_flows,
               static_cast<unsigned long long>(Relay.Offered),
               static_cast<unsigned long long>(Relay.Delivered),
               Relay.perSecond(), 1e9 / Relay.perSecond(),
               Relay.perSecond() / BarePerSecond,
               static_cast<double>(Figures.Allocations) /
-                  static_cast<double>(Relay.Offered));
+                  static_cast<double>(Relay.Offered),
+              Figures.BytesPerFlow);
   std::fflush(stdout);
 }
 
@@ -224,24 +178,38 @@
                  "--new_flows_per_second at most --offered_per_second\n");
     return 2;
   }
-  std::vector<double> BareRates;
-  std::vector<double> OneRates;
-  std::vector<double> ManyRates;
-  for (uint32_t Round = 0; Round < FLAGS_rounds; ++Round) {
-    const PathFigures Bare{measureBare(), 0};
-    BareRates.push_back(Bare.Relay.perSecond());
-    print("bare", 0, Bare, BareRates.back());
-    for (const size_t Services : {size_t{1}, ManyServices}) {
-      const PathFigures Figures = measureCallerPath(Services);
-      (Services == 1 ? OneRates : ManyRates)
-          .push_back(Figures.Relay.perSecond());
-      print("caller_path", Services, Figures, BareRates.back());
-    }
+  struct Measured {
+    const char *Name;
+    size_t Services;
+    std::function<PathFigures()> Run;
+    std::vector<double> Rates;
+  };
+  const FlowLoad Load{FLAGS_flows, FLAGS_datagrams, FLAGS_payload_bytes,
+                      FLAGS_offered_per_second / FLAGS_new_flows_per_second};
+  std::vector<Measured> Paths;
+  const auto Add = [&](const char *Name, size_t Services,
+                       std::function<PathFigures()> Run) {
+    Paths.push_back({Name, Services, std::move(Run), {}});
+  };
+  Add("bare", 0, [] { return PathFigures{measureBare(), 0, 0}; });
+  for (const size_t Services : {size_t{1}, ManyServices}) {
+    Add("caller_path", Services,
+        [Services] { return measureCallerPath(Services); });
+    Add("flow_balancer", Services,
+        [Services, Load] { return measureFlowBalancer(Load, Services); });
   }
-  const double Bare = median(BareRates);
-  std::printf("{\"medians_of\":%u,\"bare\":%.0f,\"services_1\":%.0f,"
-              "\"services_3300\":%.0f,\"share_1\":%.3f,\"share_3300\":%.3f}\n",
-              FLAGS_rounds, Bare, median(OneRates), median(ManyRates),
-              median(OneRates) / Bare, median(ManyRates) / Bare);
+  Add("flow_agent", 1, [Load] { return measureFlowAgent(Load); });
+  for (uint32_t Round = 0; Round < FLAGS_rounds; ++Round)
+    for (Measured &Each : Paths) {
+      const PathFigures Figures = Each.Run();
+      Each.Rates.push_back(Figures.Relay.perSecond());
+      print(Each.Name, Each.Services, Figures, Paths.front().Rates.back());
+    }
+  const double Bare = median(Paths.front().Rates);
+  for (const Measured &Each : Paths)
+    std::printf("{\"medians_of\":%u,\"path\":\"%s\",\"services\":%zu,"
+                "\"per_second_per_core\":%.0f,\"share_of_bare\":%.3f}\n",
+                FLAGS_rounds, Each.Name, Each.Services, median(Each.Rates),
+                median(Each.Rates) / Bare);
   return 0;
 }
--- /dev/null
+++ b/bench/relay/include/burdockstream/bench/ThreadTime.h
@@ -0,0 +1,20 @@
+// The processor time of the calling thread, which other load on the machine
+// does not stretch as it does wall time.
+#ifndef BURDOCKSTREAM_BENCH_THREADTIME_H
+#define BURDOCKSTREAM_BENCH_THREADTIME_H
+
+#include <ctime>
+
+namespace burdockstream::bench {
+
+// Thread safety: any thread.
+inline double threadCpuSeconds() {
+  timespec Time{};
+  clock_gettime(CLOCK_THREAD_CPUTIME_ID, &Time);
+  return static_cast<double>(Time.tv_sec) +
+         static_cast<double>(Time.tv_nsec) / 1e9;
+}
+
+} // namespace burdockstream::bench
+
+#endif
--- a/bench/relay/src/RelayBench.cpp
+++ b/bench/relay/src/RelayBench.cpp
@@ -1,11 +1,11 @@
 #include "burdockstream/bench/RelayBench.h"
 
+#include "burdockstream/bench/ThreadTime.h"
 #include "burdockstream/messages/MessageCodec.h"
 #include "burdockstream/network/ProxyHeader.h"
 
 #include <algorithm>
 #include <array>
-#include <ctime>
 #include <glog/logging.h>
 #include <unistd.h>
 #include <vector>
@@ -16,13 +16,6 @@
 
 constexpr base::SocketAddress AnyLoopbackPort{0x7f000001, 0};
 
-double threadCpuSeconds() {
-  timespec Time{};
-  clock_gettime(CLOCK_THREAD_CPUTIME_ID, &Time);
-  return static_cast<double>(Time.tv_sec) +
-         static_cast<double>(Time.tv_nsec) / 1e9;
-}
-
 std::unique_ptr<network::UdpSocket> openSocket() {
   auto Opened = network::UdpSocket::open(AnyLoopbackPort);
   CHECK(Opened.has_value()) << Opened.error().Message;
--- a/bench/routing_slopes/RoutingSlopes.cpp
+++ b/bench/routing_slopes/RoutingSlopes.cpp
@@ -1,11 +1,11 @@
 #include "RoutingSlopes.h"
 
 #include "Simulation.h"
+#include "burdockstream/bench/ThreadTime.h"
 #include "burdockstream/routing/Router.h"
 
 #include <algorithm>
 #include <chrono>
-#include <ctime>
 #include <glog/logging.h>
 
 namespace burdockstream::bench {
@@ -19,13 +19,7 @@
 constexpr uint32_t RouteCalls = 1000000;
 constexpr base::SocketAddress Address{0x0a0a0a0a, 5683};
 
-// Thread CPU time, because other load on the machine stretches wall time.
-double cpuNanoseconds() {
-  timespec Time{};
-  clock_gettime(CLOCK_THREAD_CPUTIME_ID, &Time);
-  return static_cast<double>(Time.tv_sec) * 1e9 +
-         static_cast<double>(Time.tv_nsec);
-}
+double cpuNanoseconds() { return threadCpuSeconds() * 1e9; }
 
 std::vector<messages::MemberInfo> readyMembers(size_t Count) {
   base::RandomSource Random(Count);
--- a/bench/slopes/AllocationCount.cpp
+++ b/bench/slopes/AllocationCount.cpp
@@ -1,13 +1,15 @@
 #include "AllocationCount.h"
 
+#include "burdockstream/bench/ThreadTime.h"
+
 #include <cstdlib>
-#include <ctime>
 #include <malloc.h>
 #include <new>
 
 namespace {
 
 int64_t Held = 0;
+uint64_t Allocations = 0;
 
 void release(void *Memory) {
   if (Memory != nullptr)
@@ -22,6 +24,7 @@
   if (Memory == nullptr)
     std::abort();
   Held += static_cast<int64_t>(malloc_usable_size(Memory));
+  ++Allocations;
   return Memory;
 }
 void operator delete(void *Memory) noexcept { release(Memory); }
@@ -29,19 +32,10 @@
 
 namespace burdockstream::bench {
 
-namespace {
-
-double threadCpuSeconds() {
-  timespec Time{};
-  clock_gettime(CLOCK_THREAD_CPUTIME_ID, &Time);
-  return static_cast<double>(Time.tv_sec) +
-         static_cast<double>(Time.tv_nsec) / 1e9;
-}
-
-} // namespace
-
 int64_t heldBytes() { return Held; }
 
+uint64_t allocations() { return Allocations; }
+
 double cpuMicroseconds(uint64_t Count, const std::function<void()> &Body) {
   const double Start = threadCpuSeconds();
   for (uint64_t I = 0; I < Count; ++I)
--- a/bench/slopes/AllocationCount.h
+++ b/bench/slopes/AllocationCount.h
@@ -1,4 +1,4 @@
-// Counts the heap memory that the program holds through operator new, and
+// Counts the heap blocks that the program allocates through operator new, and
 // measures processor time.
 #ifndef BURDOCKSTREAM_BENCH_SLOPES_ALLOCATIONCOUNT_H
 #define BURDOCKSTREAM_BENCH_SLOPES_ALLOCATIONCOUNT_H
@@ -13,6 +13,10 @@
 // must have one thread.
 int64_t heldBytes();
 
+// Returns how many blocks were allocated so far. Thread safety: the program
+// must have one thread.
+uint64_t allocations();
+
 // Returns the thread CPU time of one call of Body in microseconds, the mean of
 // Count calls. Thread safety: any thread.
 double cpuMicroseconds(uint64_t Count, const std::function<void()> &Body);
--- a/packages/base/include/burdockstream/base/Random.h
+++ b/packages/base/include/burdockstream/base/Random.h
@@ -18,6 +18,12 @@
   return Source() % Bound;
 }
 
+// Draws a source from the system's entropy. Thread safety: any thread.
+inline RandomSource newRandomSource() {
+  std::random_device Entropy;
+  return RandomSource(uint64_t{Entropy()} << 32 | Entropy());
+}
+
 } // namespace burdockstream::base
 
 #endif
--- a/packages/daemon/src/AgentDaemon.cpp
+++ b/packages/daemon/src/AgentDaemon.cpp
@@ -37,7 +37,7 @@
 AgentDaemon::AgentDaemon(const settings::DaemonSettings &InitSettings,
                          std::function<void()> InitOnFinished)
     : Settings(InitSettings), OnFinished(std::move(InitOnFinished)),
-      Random(newRandomSource()), Self(newDaemonId(Random)),
+      Random(base::newRandomSource()), Self(newDaemonId(Random)),
       Store(Settings.StoreEndpoints, StoreTimeout),
       Node(nodeSettings(Settings, Self), Random, Registry),
       Owners(Store, Settings.Agent->Service,
@@ -69,7 +69,7 @@
     return;
   NextExport = Now + ExportInterval;
   exportCounters(Registry, *Data);
-  exportCounters(Registry, Store.counters());
+  store::exportCounters(Registry, Store.counters());
   if (Node.ownership())
     exportCounters(Registry, Node.ownership()->counters());
 }
--- a/packages/daemon/src/BalancerDaemon.cpp
+++ b/packages/daemon/src/BalancerDaemon.cpp
@@ -30,7 +30,7 @@
 BalancerDaemon::BalancerDaemon(const settings::DaemonSettings &InitSettings,
                                std::function<void()> InitOnFinished)
     : Settings(InitSettings), OnFinished(std::move(InitOnFinished)),
-      Random(newRandomSource()), Self(newDaemonId(Random)),
+      Random(base::newRandomSource()), Self(newDaemonId(Random)),
       Store(Settings.StoreEndpoints, StoreTimeout),
       Node(nodeSettings(Settings, Self), Random, Registry, readClocks()),
       Timer([this] {
@@ -66,7 +66,7 @@
     return;
   NextExport = Now + ExportInterval;
   exportCounters(Registry, *Data);
-  exportCounters(Registry, Store.counters());
+  store::exportCounters(Registry, Store.counters());
   exportCounters(Registry, Node.router().counters());
   exportCounters(Registry, Node.membership().counters());
 }
--- a/packages/daemon/src/CounterExport.cpp
+++ b/packages/daemon/src/CounterExport.cpp
@@ -21,21 +21,7 @@
   set(Registry, "messages_bad_mac", Codec.BadMac);
   set(Registry, "messages_replayed", Codec.Replayed);
   set(Registry, "messages_bad_body", Codec.BadBody);
-  const network::UdpCounters Socket = Data.socket().counters();
-  set(Registry, "udp_received", Socket.Received);
-  set(Registry, "udp_received_bytes", Socket.ReceivedBytes);
-  set(Registry, "udp_sent", Socket.Sent);
-  set(Registry, "udp_sent_bytes", Socket.SentBytes);
-  set(Registry, "udp_kernel_drops", Socket.KernelDrops);
-  set(Registry, "udp_send_queue_full", Socket.SendQueueFull);
-  set(Registry, "udp_send_errors", Socket.SendErrors);
-}
-
-void exportCounters(base::Metrics &Registry,
-                    const store::CallCounters &Counters) {
-  set(Registry, "store_reads", Counters.Reads);
-  set(Registry, "store_writes", Counters.Writes);
-  set(Registry, "store_failures", Counters.Failures);
+  network::exportCounters(Registry, Data.socket().counters());
 }
 
 void exportCounters(base::Metrics &Registry,
--- a/packages/daemon/src/CounterExport.h
+++ b/packages/daemon/src/CounterExport.h
@@ -7,7 +7,6 @@
 #include "burdockstream/membership/BalancerMembership.h"
 #include "burdockstream/ownership/OwnershipCore.h"
 #include "burdockstream/routing/Router.h"
-#include "burdockstream/store/StoreClient.h"
 
 namespace burdockstream::daemon {
 
@@ -16,8 +15,6 @@
 
 // Each sets one gauge for each counter. Thread safety: loop thread only.
 void exportCounters(base::Metrics &Registry, DataSocket &Data);
-void exportCounters(base::Metrics &Registry,
-                    const store::CallCounters &Counters);
 void exportCounters(base::Metrics &Registry,
                     const routing::RouterCounters &Counters);
 void exportCounters(base::Metrics &Registry,
--- a/packages/daemon/src/Daemon.cpp
+++ b/packages/daemon/src/Daemon.cpp
@@ -39,12 +39,6 @@
 
 } // namespace
 
-base::RandomSource newRandomSource() {
-  uint64_t Seed = 0;
-  randombytes_buf(&Seed, sizeof(Seed));
-  return base::RandomSource(Seed);
-}
-
 base::DaemonId newDaemonId(base::RandomSource &Random) {
   base::DaemonId Id;
   while (Id.Value == 0)
--- a/packages/daemon/src/Daemon.h
+++ b/packages/daemon/src/Daemon.h
@@ -32,9 +32,6 @@
 // that takes longer is settled by reading back.
 inline constexpr base::Duration StoreTimeout = std::chrono::seconds(1);
 
-// Draws a random source from the system's entropy. Thread safety: any thread.
-base::RandomSource newRandomSource();
-
 // Draws a DaemonId that is not zero. Thread safety: as the source.
 base::DaemonId newDaemonId(base::RandomSource &Random);
 
--- a/packages/flowd/src/AgentShell.cpp
+++ b/packages/flowd/src/AgentShell.cpp
@@ -4,7 +4,6 @@
 #include "burdockstream/flowd/AgentEntries.h"
 
 #include <algorithm>
-#include <random>
 #include <utility>
 
 namespace burdockstream::flowd {
@@ -27,13 +26,6 @@
 // A balancer may not yet have seen an entry that was just written.
 constexpr base::Duration RewriteInterval = std::chrono::seconds(2);
 
-constexpr const char *MetricsPath = "/metrics";
-
-uint64_t newIncarnation() {
-  std::random_device Entropy;
-  return uint64_t{Entropy()} << 32 | Entropy();
-}
-
 } // namespace
 
 AgentShell::AgentShell(FlowSettings InitSettings,
@@ -78,7 +70,7 @@
   flows::AgentOptions Options;
   Options.Target = {Part.Service, Part.Target};
   Options.FailureDomain = Settings.FailureDomain;
-  Options.Incarnation = newIncarnation();
+  Options.Incarnation = base::newRandomSource()();
   // One heartbeat may be late by half an interval, but the address must not be
   // in other hands before the target counts as silent.
   Options.HeartbeatOverdue = std::min<base::Duration>(
@@ -192,9 +184,8 @@
 
 void AgentShell::onRequest(const http::ServerRequest &Request,
                            http::Responder &Out) {
-  if (Request.Method == "GET" && Request.Path == MetricsPath)
-    return Out.send(
-        {200, "text/plain", base::toPrometheus(Registry.snapshot())});
+  if (const auto Report = answerReport(Request, reports()))
+    return Out.send(*Report);
   const TargetCall Call = Environment.Calls.Read(Request);
   if (Call.Kind == TargetCallKind::Unknown)
     return Out.send({404, "text/plain", "no such path\n"});
@@ -202,6 +193,27 @@
   Out.send({Status, "application/json", "{}"});
 }
 
+ReportSources AgentShell::reports() {
+  ReportSources Sources;
+  Sources.Metrics = [this] {
+    network::exportCounters(Registry, Data->counters(), {{"socket", "frames"}});
+    network::exportCounters(Registry, Outbound->counters(),
+                            {{"socket", "packets"}});
+    store::exportCounters(Registry, Store->counters());
+    exportState(Registry, Core, readClocks().Monotonic);
+    return Registry.snapshot();
+  };
+  Sources.Daemon = [this] {
+    Json::Value Report = describe(Core, readClocks().Monotonic);
+    Report["name"] = Settings.Name;
+    return Report;
+  };
+  Sources.Flow = [this](const flows::FlowKey &Flow) {
+    return describe(Core.view(Flow));
+  };
+  return Sources;
+}
+
 unsigned AgentShell::onCall(const TargetCall &Call) {
   const base::Now Now = readClocks();
   const flows::Heartbeat &Beat = Call.Beat;
--- a/packages/flowd/src/AgentShell.h
+++ b/packages/flowd/src/AgentShell.h
@@ -4,6 +4,7 @@
 #define BURDOCKSTREAM_FLOWD_AGENTSHELL_H
 
 #include "DecisionLog.h"
+#include "FlowReports.h"
 #include "FrameSocket.h"
 #include "burdockstream/flowd/AgentRegistration.h"
 #include "burdockstream/flowd/FlowDaemon.h"
@@ -30,6 +31,7 @@
   void onFrame(std::span<uint8_t> Datagram, base::SocketAddress From);
   void onTargetDatagram(std::span<uint8_t> Datagram);
   void onRequest(const http::ServerRequest &Request, http::Responder &Out);
+  ReportSources reports();
   unsigned onCall(const TargetCall &Call);
   void probe();
   void logState(flows::TargetState From, flows::TargetState To,
--- a/packages/flowd/src/BalancerShell.cpp
+++ b/packages/flowd/src/BalancerShell.cpp
@@ -4,7 +4,6 @@
 #include "burdockstream/base/JsonText.h"
 #include "burdockstream/flowd/AgentEntries.h"
 
-#include <random>
 #include <utility>
 
 namespace burdockstream::flowd {
@@ -31,12 +30,6 @@
 constexpr base::Duration AgentsPause = std::chrono::milliseconds(1000);
 
 constexpr const char *StatePath = "/v1/state";
-constexpr const char *MetricsPath = "/metrics";
-
-base::RandomSource newRandomSource() {
-  std::random_device Entropy;
-  return base::RandomSource(uint64_t{Entropy()} << 32 | Entropy());
-}
 
 } // namespace
 
@@ -48,7 +41,7 @@
       OnFinished(std::move(InitOnFinished)), Decisions(Log, Registry),
       Core({Settings.FailureDomain, Settings.Control,
             Environment.Codec.HeaderBytes},
-           coreHooks(), newRandomSource()),
+           coreHooks(), base::newRandomSource()),
       Store(Environment.OpenStore(Settings.Store)),
       Server([this](const http::ServerRequest &Request,
                     const std::shared_ptr<http::Responder> &Out) {
@@ -97,8 +90,12 @@
   };
   Hooks.OnLost = [this](const base::Error &Reason) {
     logStore("store_lost", "routes", &Reason);
+    updateFreshness();
+  };
+  Hooks.OnRegained = [this] {
+    logStore("store_regained", "routes", nullptr);
+    updateFreshness();
   };
-  Hooks.OnRegained = [this] { logStore("store_regained", "routes", nullptr); };
   return Hooks;
 }
 
@@ -118,8 +115,12 @@
   Hooks.OnEvent = [this](const store::WatchEvent &Event) { takeAgent(Event); };
   Hooks.OnLost = [this](const base::Error &Reason) {
     logStore("store_lost", "agents", &Reason);
+    updateFreshness();
+  };
+  Hooks.OnRegained = [this] {
+    logStore("store_regained", "agents", nullptr);
+    updateFreshness();
   };
-  Hooks.OnRegained = [this] { logStore("store_regained", "agents", nullptr); };
   return Hooks;
 }
 
@@ -168,6 +169,9 @@
   if (Reason)
     Fields["reason"] = Reason->Message;
   Log.write(LogPriority::Process, Event, Fields, readClocks());
+}
+
+void BalancerShell::updateFreshness() {
   Core.setStoreFresh(Routes && Routes->inStep() && Agents && Agents->inStep());
 }
 
@@ -246,9 +250,8 @@
                               http::Responder &Out) {
   if (Request.Method != "GET")
     return Out.send({405, "text/plain", "only GET is served here\n"});
-  if (Request.Path == MetricsPath)
-    return Out.send(
-        {200, "text/plain", base::toPrometheus(Registry.snapshot())});
+  if (const auto Report = answerReport(Request, reports()))
+    return Out.send(*Report);
   if (Request.Path == StatePath)
     return Out.send({200, "application/json", stateForPeers()});
   if (Request.Path == Environment.ReadyPath)
@@ -256,6 +259,31 @@
   Out.send({404, "text/plain", "no such path\n"});
 }
 
+ReportSources BalancerShell::reports() {
+  ReportSources Sources;
+  Sources.Metrics = [this] {
+    network::exportCounters(Registry, Ingress->counters(),
+                            {{"socket", "packets"}});
+    network::exportCounters(Registry, Frames->counters(),
+                            {{"socket", "frames"}});
+    store::exportCounters(Registry, Store->counters());
+    exportState(Registry, Core, readClocks().Monotonic);
+    return Registry.snapshot();
+  };
+  Sources.Daemon = [this] {
+    Json::Value Report = describe(Core, readClocks().Monotonic);
+    Report["name"] = Settings.Name;
+    Report["ready"] = isReady();
+    for (const base::SocketAddress Peer : KnownPeers)
+      Report["peers"].append(base::toString(Peer));
+    return Report;
+  };
+  Sources.Flow = [this](const flows::FlowKey &Flow) {
+    return describe(Core.view(Flow));
+  };
+  return Sources;
+}
+
 std::string BalancerShell::stateForPeers() const {
   Json::Value State;
   State["revision"] = Json::Int64(Core.routes() ? Core.routes()->Revision : 0);
--- a/packages/flowd/src/BalancerShell.h
+++ b/packages/flowd/src/BalancerShell.h
@@ -4,6 +4,7 @@
 #define BURDOCKSTREAM_FLOWD_BALANCERSHELL_H
 
 #include "DecisionLog.h"
+#include "FlowReports.h"
 #include "FrameSocket.h"
 #include "burdockstream/flowd/FlowDaemon.h"
 #include "burdockstream/flowd/WatchedPrefix.h"
@@ -35,6 +36,8 @@
   void takeRoutes(const std::string &Text, base::Revision Revision,
                   const std::string &Source);
   void takeAgent(const store::WatchEvent &Event);
+  ReportSources reports();
+  void updateFreshness();
   void logStore(const char *Event, const char *What, const base::Error *Reason);
   void askPeers();
   void meetPeer(base::SocketAddress Peer);
--- a/packages/flows/include/burdockstream/flows/AgingMap.h
+++ b/packages/flows/include/burdockstream/flows/AgingMap.h
@@ -28,6 +28,14 @@
     return &Recent.insert(std::move(Old)).position->second;
   }
 
+  // Returns the entry of Key, or null, without counting as its use.
+  const ValueT *peek(const FlowKey &Key) const {
+    for (const Map *Each : {&Recent, &Aged})
+      if (const auto Found = Each->find(Key); Found != Each->end())
+        return &Found->second;
+    return nullptr;
+  }
+
   // Returns the entry of Key, new if there was none.
   ValueT &insert(const FlowKey &Key) {
     if (ValueT *Found = use(Key))
@@ -45,8 +53,10 @@
   template <typename FunctionT> void age(FunctionT OnDrop) {
     for (auto &[Key, Value] : Aged)
       OnDrop(Key, Value);
-    Aged = std::move(Recent);
-    Recent = Map();
+    // The emptied map keeps its buckets, so that a map of steady size neither
+    // allocates nor moves all its entries again.
+    Aged.clear();
+    std::swap(Aged, Recent);
   }
 
   template <typename FunctionT> void forEach(FunctionT Visit) {
--- a/packages/flows/include/burdockstream/flows/FlowAgent.h
+++ b/packages/flows/include/burdockstream/flows/FlowAgent.h
@@ -60,6 +60,15 @@
       OnState;
 };
 
+// What an agent knows of one flow, for an operator.
+struct AgentFlowView {
+  bool Known = false;
+  bool Open = false;    // the target has sent data or closed: it holds it
+  bool Waiting = false; // a request has no answer yet
+  bool NotHeld = false; // the target has returned a packet of it
+  WorkClass Class = WorkClass::Other;
+};
+
 struct AgentOptions {
   TargetIdentity Target;
   std::string FailureDomain;
@@ -144,6 +153,12 @@
   // Requests without an answer, and flows whose first request is on its way.
   uint32_t waiting() const { return Waiting + Opening; }
   size_t flows() const { return Flows.size(); }
+  uint32_t slots() const { return Slots; }
+  base::Revision newestRoutes() const { return NewestRoutes; }
+  base::Duration heartbeatAge(base::TimePoint Now) const {
+    return Now - LastBeat;
+  }
+  AgentFlowView view(const FlowKey &Flow) const;
   size_t balancers() const { return Balancers.size(); }
 
 private:
--- a/packages/flows/include/burdockstream/flows/FlowBalancer.h
+++ b/packages/flows/include/burdockstream/flows/FlowBalancer.h
@@ -36,6 +36,15 @@
       OnNewerRoutes;
 };
 
+// What a balancer knows of one flow, for an operator.
+struct BalancerFlowView {
+  bool Known = false;
+  base::SocketAddress Agent; // of the target that it is forwarded to
+  uint8_t Offers = 0;        // of its opening packet
+  uint8_t Refusals = 0;      // offers that came back
+  bool Searching = false;    // agents have been asked who holds it
+};
+
 struct BalancerIdentity {
   std::string FailureDomain;
   base::SocketAddress Control; // where peers can read the routes
@@ -119,8 +128,11 @@
   bool canServe(base::TimePoint Now) const;
 
   const RouteTable *routes() const { return Routes.get(); }
+  base::TimePoint routesSince() const { return RoutesSince; }
   const TargetTable &targets() const { return Targets; }
   size_t flows() const { return Flows.size(); }
+  size_t searches() const { return Searches.size(); }
+  BalancerFlowView view(const FlowKey &Flow) const;
   uint64_t droppedSearches() const { return DroppedSearches; }
 
 private:
@@ -144,9 +156,9 @@
   void open(const Packet &Packet, base::TimePoint Now);
   void place(const Packet &Packet, const Route &Route, FlowEntry &Entry,
              base::TimePoint Now);
-  std::vector<Candidate> candidates(base::ServiceId Service,
-                                    const FlowEntry &Entry, double Distance,
-                                    base::TimePoint Now);
+  // Fills Choices.
+  void findCandidates(base::ServiceId Service, const FlowEntry &Entry,
+                      double Distance, base::TimePoint Now);
   void forward(const Packet &Packet, TargetIndex Index, const Route *Route,
                FrameKind Kind = FrameKind::Forward);
   void search(const Packet &Packet, TargetIndex Excluded, base::TimePoint Now);
@@ -171,7 +183,9 @@
   BalancerHooks Hooks;
   base::RandomSource Random;
   std::shared_ptr<const RouteTable> Routes;
+  base::TimePoint RoutesSince{};
   TargetTable Targets;
+  std::vector<Candidate> Choices; // a member, so that it keeps its memory
   AgingMap<FlowEntry> Flows;
   std::unordered_map<FlowKey, Search> Searches;
   double SearchFrames = SearchFrameBurst; // that may be sent now
--- a/packages/flows/include/burdockstream/flows/TargetTable.h
+++ b/packages/flows/include/burdockstream/flows/TargetTable.h
@@ -86,6 +86,9 @@
   Target *at(TargetIndex Index) {
     return Index < Targets.size() ? Targets[Index].get() : nullptr;
   }
+  const Target *at(TargetIndex Index) const {
+    return Index < Targets.size() ? Targets[Index].get() : nullptr;
+  }
   TargetIndex indexOf(base::SocketAddress Agent) const;
 
   // Targets of a service, dropped ones excluded.
--- a/packages/flows/src/AgentBeliefs.cpp
+++ b/packages/flows/src/AgentBeliefs.cpp
@@ -140,6 +140,18 @@
   sendStatuses(Now, Audience::All);
 }
 
+AgentFlowView FlowAgent::view(const FlowKey &Flow) const {
+  AgentFlowView Result;
+  Result.NotHeld = NotHeld.peek(Flow) != nullptr;
+  if (const FlowRecord *Record = Flows.peek(Flow)) {
+    Result.Known = true;
+    Result.Open = Record->Open;
+    Result.Waiting = Record->Waiting;
+    Result.Class = Record->Class;
+  }
+  return Result;
+}
+
 TargetStatus FlowAgent::status(base::TimePoint Now) {
   TargetStatus Status;
   Status.Incarnation = Options.Incarnation;
--- a/packages/flows/src/FlowBalancer.cpp
+++ b/packages/flows/src/FlowBalancer.cpp
@@ -15,6 +15,7 @@
     Table = std::move(Merged);
   }
   Routes = std::move(Table);
+  RoutesSince = Now;
   NextHello = Now; // agents learn the revision at once
   return true;
 }
@@ -79,30 +80,27 @@
   place(Packet, *Route, *Known, Now);
 }
 
-std::vector<Candidate> FlowBalancer::candidates(base::ServiceId Service,
-                                                const FlowEntry &Entry,
-                                                double Distance,
-                                                base::TimePoint Now) {
-  std::vector<Candidate> Result;
+void FlowBalancer::findCandidates(base::ServiceId Service,
+                                  const FlowEntry &Entry, double Distance,
+                                  base::TimePoint Now) {
+  Choices.clear();
   const auto Offered = Entry.Offered.begin();
   for (const TargetIndex Index : Targets.ofService(Service)) {
     const Target &Each = *Targets.at(Index);
     if (!takesFlows(Each, Now) || std::find(Offered, Offered + Entry.Offers,
                                             Index) != Offered + Entry.Offers)
       continue;
-    Result.push_back({Index, std::max(Each.Status.Slots, 1U),
-                      Each.Status.Waiting, Each.Unreported, Each.Status.Flows,
-                      Each.FailureDomain == Self.FailureDomain ? 0 : Distance,
-                      Each.Status.WarmupMs > 0});
+    Choices.push_back({Index, std::max(Each.Status.Slots, 1U),
+                       Each.Status.Waiting, Each.Unreported, Each.Status.Flows,
+                       Each.FailureDomain == Self.FailureDomain ? 0 : Distance,
+                       Each.Status.WarmupMs > 0});
   }
-  return Result;
 }
 
 void FlowBalancer::place(const Packet &Packet, const Route &Route,
                          FlowEntry &Entry, base::TimePoint Now) {
   const base::ServiceId Service = serviceOf(Route, Packet.Flow);
-  const auto Choices =
-      candidates(Service, Entry,
+  findCandidates(Service, Entry,
                  Route.Class == WorkClass::Download ? RemoteDownloadDistance
                                                     : RemoteDistance,
                  Now);
@@ -203,6 +201,20 @@
                                });
 }
 
+BalancerFlowView FlowBalancer::view(const FlowKey &Flow) const {
+  BalancerFlowView Result;
+  Result.Searching = Searches.count(Flow) != 0;
+  const FlowEntry *Entry = Flows.peek(Flow);
+  if (!Entry)
+    return Result;
+  Result.Known = true;
+  Result.Offers = Entry->Offers;
+  Result.Refusals = Entry->Refusals;
+  if (const Target *Holder = Targets.at(Entry->Target))
+    Result.Agent = Holder->Agent;
+  return Result;
+}
+
 bool FlowBalancer::isSettled(base::TimePoint Now) const {
   return StoreFresh && ListKnown && PeersAsked &&
          Now - LastListChange >= SettleTime;
--- a/packages/network/include/burdockstream/network/UdpSocket.h
+++ b/packages/network/include/burdockstream/network/UdpSocket.h
@@ -4,6 +4,7 @@
 #define BURDOCKSTREAM_NETWORK_UDPSOCKET_H
 
 #include "burdockstream/base/Error.h"
+#include "burdockstream/base/Metrics.h"
 #include "burdockstream/base/SocketAddress.h"
 
 #include <cstddef>
@@ -52,6 +53,10 @@
   uint64_t SendErrors = 0;    // refused for good, dropped
 };
 
+// Sets one gauge with Tags for each counter. Thread safety: loop thread only.
+void exportCounters(base::Metrics &Registry, const UdpCounters &Counters,
+                    const base::Labels &Tags = {});
+
 class UdpSocket {
 public:
   // Receives one datagram. The span is valid, and may be written, until the
--- a/packages/store/include/burdockstream/store/Store.h
+++ b/packages/store/include/burdockstream/store/Store.h
@@ -6,6 +6,7 @@
 
 #include "burdockstream/base/Error.h"
 #include "burdockstream/base/Ids.h"
+#include "burdockstream/base/Metrics.h"
 #include "burdockstream/base/Time.h"
 #include "burdockstream/http/HttpClient.h"
 
@@ -57,6 +58,16 @@
   base::Duration Pause{0};
 };
 
+// Counts of calls as the store's rate limits count them.
+struct CallCounters {
+  uint64_t Reads = 0;
+  uint64_t Writes = 0;
+  uint64_t Failures = 0;
+};
+
+// Sets one gauge for each counter. Thread safety: loop thread only.
+void exportCounters(base::Metrics &Registry, const CallCounters &Counters);
+
 using RangeCallback = std::function<void(base::Result<RangeReply>)>;
 using LeaseCallback = std::function<void(base::Result<LeaseReply>)>;
 using DoneCallback = std::function<void(base::Result<void>)>;
@@ -92,6 +103,8 @@
   virtual std::unique_ptr<http::HttpStream> watch(const WatchRequest &Request,
                                                   WatchCallback OnEvent,
                                                   WatchEndCallback OnEnd) = 0;
+
+  virtual const CallCounters &counters() const = 0;
 };
 
 } // namespace burdockstream::store
--- a/packages/store/include/burdockstream/store/StoreClient.h
+++ b/packages/store/include/burdockstream/store/StoreClient.h
@@ -35,13 +35,6 @@
   std::optional<KeyValue> Current;
 };
 
-// Counts of calls, for the store's rate limits. A watch counts as one call.
-struct CallCounters {
-  uint64_t Reads = 0;
-  uint64_t Writes = 0;
-  uint64_t Failures = 0;
-};
-
 using CasCallback = std::function<void(base::Result<CasReply>)>;
 
 class StoreClient : public Store {
@@ -82,7 +75,7 @@
                                           WatchCallback OnEvent,
                                           WatchEndCallback OnEnd) override;
 
-  const CallCounters &counters() const { return Counters; }
+  const CallCounters &counters() const override { return Counters; }
 
 private:
   void call(const std::string &Path, const Json::Value &Body,
--- a/testing/flow_soak/src/SoakParts.cpp
+++ b/testing/flow_soak/src/SoakParts.cpp
@@ -1,28 +1,20 @@
 #include "SoakParts.h"
 
 #include "PlatformPackets.h"
-#include "burdockstream/base/Hash.h"
 #include "burdockstream/base/JsonText.h"
+#include "burdockstream/testing/PlatformPacketWriter.h"
 
-#include <cstring>
 #include <glib.h>
 #include <glog/logging.h>
 
 namespace burdockstream::flowsoak {
 
-namespace {
+using testing::AckFlag;
+using testing::isIntact;
+using testing::requestOf;
+using testing::SynFlag;
 
-// The platform's header; the product's codec does not write client packets.
-constexpr size_t HeaderBytes = 32;
-constexpr size_t EchoAt = 12;
-constexpr size_t LengthAt = 16;
-constexpr size_t AcknowledgedAt = 22;
-constexpr size_t FlagsAt = 26;
-constexpr size_t PadAt = 27;
-constexpr size_t SumAt = 28;
-constexpr uint8_t SynFlag = 8;
-constexpr uint8_t AckFlag = 16;
-constexpr uint8_t BouncedFlag = 128;
+namespace {
 
 constexpr int64_t RequestPauseMs = 120;
 constexpr int64_t SynWaitMs = 1'400;
@@ -30,53 +22,6 @@
 
 int64_t nowMs() { return g_get_monotonic_time() / 1000; }
 
-template <typename ValueT>
-void put(std::vector<uint8_t> &Out, size_t At, ValueT Value) {
-  std::memcpy(Out.data() + At, &Value, sizeof(Value));
-}
-
-// Covers all fields but echo, pad and the bounced mark.
-uint32_t sumOf(std::span<const uint8_t> Bytes) {
-  std::string Copy(Bytes.begin(), Bytes.end());
-  std::memset(Copy.data() + EchoAt, 0, 4);
-  Copy[PadAt] = 0;
-  Copy[FlagsAt] = static_cast<char>(Copy[FlagsAt] & ~BouncedFlag);
-  std::memset(Copy.data() + SumAt, 0, 4);
-  return static_cast<uint32_t>(base::hashBytes(Copy, 77));
-}
-
-bool isIntact(std::span<const uint8_t> Bytes) {
-  uint32_t Sum = 0;
-  std::memcpy(&Sum, Bytes.data() + SumAt, sizeof(Sum));
-  return Sum == sumOf(Bytes);
-}
-
-std::vector<uint8_t> makePacket(base::SocketAddress From,
-                                base::SocketAddress To, uint8_t Flags,
-                                uint32_t Acknowledged, uint32_t Request) {
-  const uint16_t Length = Request == 0 ? 0 : sizeof(Request);
-  std::vector<uint8_t> Bytes(HeaderBytes + Length);
-  put(Bytes, 0, From.Ip);
-  put(Bytes, 4, To.Ip);
-  put(Bytes, 8, To.Port);
-  put(Bytes, 10, From.Port);
-  put(Bytes, LengthAt, Length);
-  put(Bytes, 18, Request * 4); // sequence
-  put(Bytes, AcknowledgedAt, Acknowledged);
-  Bytes[FlagsAt] = Flags;
-  if (Request != 0)
-    put(Bytes, HeaderBytes, Request);
-  put(Bytes, SumAt, sumOf(Bytes));
-  return Bytes;
-}
-
-uint32_t requestOf(std::span<const uint8_t> Bytes) {
-  uint32_t Request = 0;
-  if (Bytes.size() >= HeaderBytes + sizeof(Request))
-    std::memcpy(&Request, Bytes.data() + HeaderBytes, sizeof(Request));
-  return Request;
-}
-
 bool isBefore(const flows::FlowKey &A, const flows::FlowKey &B) {
   return std::pair(A.Client, A.Service) < std::pair(B.Client, B.Service);
 }
@@ -138,17 +83,18 @@
   if (Packet->Opens)
     Held.insert(Packet->Flow);
   if (!holds(Packet->Flow)) {
-    Bytes[FlagsAt] |= BouncedFlag;
-    Bytes[PadAt] = 0;
+    testing::markReturned(Bytes);
     Socket->send(Bytes, Back);
     return;
   }
   const uint32_t Request = requestOf(Bytes);
   if (Packet->Opens || Request != 0)
-    Socket->send(makePacket(Packet->Flow.Service, Packet->Flow.Client,
-                            Packet->Opens ? SynFlag | AckFlag : AckFlag,
-                            Request * 4, Request),
-                 Back);
+    Socket->send(
+        testing::writePacket(
+            {Packet->Flow.Service, Packet->Flow.Client,
+             static_cast<uint8_t>(Packet->Opens ? SynFlag | AckFlag : AckFlag),
+             Request * 4, Request}),
+        Back);
 }
 
 SoakClients::SoakClients(
@@ -180,8 +126,8 @@
 
 void SoakClients::send(const SoakFlow &Flow, uint8_t Flags,
                        uint32_t Acknowledged, uint32_t Request) {
-  Socket->send(makePacket(Flow.Key.Client, Flow.Key.Service, Flags,
-                          Acknowledged, Request),
+  Socket->send(testing::writePacket({Flow.Key.Client, Flow.Key.Service, Flags,
+                                     Acknowledged, Request}),
                Route(Flow.Key));
 }
 
