Decide again on packets that could not be decided, and ask silent agents again

Change: silent agents are asked again after 60 ms, then 120, 240, 480; undecided packets are parked (1,024 at most) and decided when what they wait for is there; searches that leave at one moment share frames; the answer of a trial names the flow by the client's header; peers have 250 ms.

--- a/packages/flowd/src/AgentShell.cpp
+++ b/packages/flowd/src/AgentShell.cpp
@@ -164,11 +164,13 @@
   if (Frame && Frame->Header.Kind == flows::FrameKind::Hello) {
     if (const auto Hello = flows::unpackHello(Frame->Body))
       return Core.onHello(From, Frame->Header.Routes, *Hello, Now);
+  } else if (Frame && Frame->Header.Kind == flows::FrameKind::Search) {
+    const auto Packets = flows::decodeHeaders(Environment.Codec, Frame->Body);
+    if (!Packets.empty())
+      return Core.onSearches(From, Frame->Header, Packets);
   } else if (Frame) {
-    const bool IsHeader = Frame->Header.Kind == flows::FrameKind::Search;
     const auto Packet =
-        IsHeader ? Environment.Codec.DecodeHeader(Frame->Body)
-                 : Environment.Codec.Decode(Frame->Body, flows::Sender::Client);
+        Environment.Codec.Decode(Frame->Body, flows::Sender::Client);
     if (Packet)
       return Core.onFrame(From, Frame->Header, *Packet, Now);
   }
--- a/packages/flowd/src/BalancerShell.cpp
+++ b/packages/flowd/src/BalancerShell.cpp
@@ -21,7 +21,9 @@
 // asked for what they know.
 constexpr base::Duration PeerDelay = std::chrono::milliseconds(800);
 constexpr base::Duration PeerRound = std::chrono::milliseconds(1000);
-constexpr base::Duration PeerTimeout = std::chrono::milliseconds(500);
+// Peers answer from memory, within a round trip of some 10 ms; a VM that is
+// down does not answer at all, and no flow is reset while a peer is asked.
+constexpr base::Duration PeerTimeout = std::chrono::milliseconds(250);
 
 // Changes often come in series, and each answer of the store costs a call. The
 // bound for routes to be in force is some seconds; a target that has just
@@ -235,9 +237,15 @@
         meetPeer(Status->NewestRoutesAt);
       return Core.onStatus(From, *Status, Now);
     }
-  } else if (Frame) {
+  } else if (Frame && Frame->Header.Kind == flows::FrameKind::Returned) {
     if (const auto Packet = Environment.Codec.DecodeHeader(Frame->Body))
       return Core.onAgentAnswer(From, Frame->Header, *Packet, Now);
+  } else if (Frame) {
+    const auto Packets = flows::decodeHeaders(Environment.Codec, Frame->Body);
+    for (const flows::Packet &Each : Packets)
+      Core.onAgentAnswer(From, Frame->Header, Each, Now);
+    if (!Packets.empty())
+      return;
   }
   Registry.counter("malformed_frames").add();
 }
--- a/packages/flows/include/burdockstream/flows/FlowAgent.h
+++ b/packages/flows/include/burdockstream/flows/FlowAgent.h
@@ -104,6 +104,11 @@
 // opening packet; later the client has chosen another target, or none.
 inline constexpr base::Duration OpeningLife = std::chrono::milliseconds(500);
 
+// A request without an answer for this long does not count as work in progress:
+// its client may be gone without a word, and its target would seem busy for as
+// long as the flow is remembered.
+inline constexpr base::Duration WaitingLife = std::chrono::seconds(3);
+
 // A target on the same VM returns a packet within milliseconds. One that it
 // keeps for longer belongs to a flow that it holds: not every packet is
 // answered.
@@ -127,6 +132,10 @@
   // The settings name another target: nothing is known of it.
   void setTarget(const TargetIdentity &Target, base::TimePoint Now);
 
+  // A search for flows, of which each packet has the header only.
+  void onSearches(base::SocketAddress From, const FrameHeader &Header,
+                  std::span<const Packet> Packets);
+
   // A frame of a balancer that carries a packet.
   void onFrame(base::SocketAddress From, const FrameHeader &Header,
                const Packet &Packet, base::TimePoint Now);
@@ -179,9 +188,8 @@
   };
   // A packet that was given to the target to learn whether it holds the flow.
   struct Trial {
-    FlowKey Flow;
-    base::TimePoint At;
-    std::vector<uint8_t> Header; // of the packet
+    uint16_t Balancer = 0;       // index in Senders
+    std::vector<uint8_t> Header; // of the client's packet, for the answer
   };
   enum class Audience : uint8_t { Near, All };
 
@@ -190,8 +198,8 @@
   ReturnReason gate(const FrameHeader &Header, base::TimePoint Now) const;
   void onForward(base::SocketAddress From, const FrameHeader &Header,
                  const Packet &Packet, base::TimePoint Now);
-  void onSearch(base::SocketAddress From, const FrameHeader &Header,
-                const Packet &Packet);
+  std::span<const uint8_t> headerOf(const Packet &Packet) const;
+  FrameKind holding(const FrameHeader &Header, const Packet &Packet);
   void onTry(base::SocketAddress From, const FrameHeader &Header,
              const Packet &Packet, base::TimePoint Now);
   void deliver(base::SocketAddress From, const Packet &Packet, bool IsSearch);
@@ -204,7 +212,9 @@
   void noteOpening(FlowRecord &Record, const FlowKey &Flow,
                    base::TimePoint Now);
   void settleTrials(base::TimePoint Now);
+  void settleTrial(const FlowKey &Flow);
   void expireOpenings(base::TimePoint Now);
+  void expireWaiting(base::TimePoint Now);
   void stopCounting(FlowRecord &Record);
   void forget(const FlowKey &Flow);
   void resetAll(base::TimePoint Now);
@@ -229,13 +239,15 @@
   base::TimePoint NextProbe{};
 
   AgingMap<FlowRecord> Flows;
-  AgingMap<uint16_t> Searched; // delivered without knowing; value: balancer
-  std::deque<Trial> Trials;    // the same, oldest first
+  AgingMap<Trial> Trials;
+  std::deque<std::pair<FlowKey, base::TimePoint>> TrialTimes; // oldest first
   AgingMap<bool> NotHeld;
   base::TimePoint NextAging{};
   base::TimePoint NextNotHeldAging{};
   // Flows whose opening packet was delivered a moment ago, oldest first.
   std::deque<std::pair<FlowKey, base::TimePoint>> Openings;
+  // Requests by the time when they arrived, oldest first.
+  std::deque<std::pair<FlowKey, base::TimePoint>> Requests;
   uint32_t Opening = 0;
   uint32_t Waiting = 0;
   uint32_t OpenFlows = 0;
--- a/packages/flows/include/burdockstream/flows/FlowBalancer.h
+++ b/packages/flows/include/burdockstream/flows/FlowBalancer.h
@@ -12,8 +12,10 @@
 #include "burdockstream/flows/AgingMap.h"
 #include "burdockstream/flows/FlowDecision.h"
 #include "burdockstream/flows/Packet.h"
+#include "burdockstream/flows/ParkedPackets.h"
 #include "burdockstream/flows/Placement.h"
 #include "burdockstream/flows/RouteTable.h"
+#include "burdockstream/flows/SearchBatch.h"
 #include "burdockstream/flows/TargetTable.h"
 
 #include <array>
@@ -66,16 +68,21 @@
 // packet of the flow starts another one.
 inline constexpr base::Duration SearchLife = std::chrono::milliseconds(1500);
 
+// An answer to a search may be lost, and an agent may be starting: those that
+// have not answered are asked again after this, then after twice the time, and
+// so on. Between failure domains an answer takes about 20 ms.
+inline constexpr base::Duration ReaskTime = std::chrono::milliseconds(60);
+
 // Packets of a flow that are kept while its holder is looked for; the client
 // has at most 16 in flight, and sends the others again.
 inline constexpr size_t MaxKept = 4;
 
 // Load pattern: after a restart of all balancers every long flow is searched at
 // once. A search costs a frame for each agent of the service; more than this
-// many a second would hold up the frames of flows that are known. A client
-// whose packet is dropped here sends it again after 200 ms.
+// many a second would hold up the frames of flows that are known. Packets over
+// the limit are parked until there is room.
 inline constexpr double SearchFramesPerSecond = 6000;
-inline constexpr double SearchFrameBurst = 3000;
+inline constexpr double SearchFrameBurst = 600;
 
 // If the loop stood still for longer, the silence of agents proves nothing.
 inline constexpr base::Duration StallLimit = std::chrono::milliseconds(400);
@@ -109,7 +116,7 @@
   void setPeersAsked(bool Asked) { PeersAsked = Asked; }
 
   // Whether the store answers, so that routes and list are the newest.
-  void setStoreFresh(bool Fresh) { StoreFresh = Fresh; }
+  void setStoreFresh(bool Fresh);
 
   // A client's packet from the fabric.
   void onClientPacket(const Packet &Packet, base::TimePoint Now);
@@ -131,6 +138,7 @@
   base::TimePoint routesSince() const { return RoutesSince; }
   const TargetTable &targets() const { return Targets; }
   size_t flows() const { return Flows.size(); }
+  size_t parked() const { return Parked.size(); }
   size_t searches() const { return Searches.size(); }
   BalancerFlowView view(const FlowKey &Flow) const;
   uint64_t droppedSearches() const { return DroppedSearches; }
@@ -151,8 +159,13 @@
     uint32_t Acknowledged = 0;       // newest of the client
     // What the client sent meanwhile, for the agent that holds the flow.
     std::vector<std::vector<uint8_t>> Kept;
+    Packet Newest; // of those in Kept, without its bytes
+    base::TimePoint NewestArrivedAt;
+    base::TimePoint NextAsk;
+    base::Duration AskInterval = ReaskTime;
   };
 
+  void handle(const Packet &Packet, base::TimePoint Now);
   void open(const Packet &Packet, base::TimePoint Now);
   void place(const Packet &Packet, const Route &Route, FlowEntry &Entry,
              base::TimePoint Now);
@@ -165,9 +178,16 @@
   bool admitSearch(size_t Asked, base::TimePoint Now);
   void ask(Search &Running, const Route &Route, TargetIndex Excluded,
            const Packet &Packet, base::TimePoint Now);
+  void askAgain(base::TimePoint Now);
+  void sendSearches();
+  void askSilent(Search &Running, base::TimePoint Now);
+  void dropLost(Search &Running, base::TimePoint Now);
+  void expireSearches(base::TimePoint Now);
+  void park(const Packet &Packet, WaitFor Reason);
+  void replayParked(base::TimePoint Now);
+  void replay(WaitFor Reason, base::TimePoint Now);
   void sendKept(const Search &Running, TargetIndex Index, FrameKind Kind);
-  void finishSearch(const FlowKey &Flow, const Search &Done,
-                    base::TimePoint Now);
+  void finishSearch(const FlowKey &Flow, Search &Done, base::TimePoint Now);
   void onReturned(TargetIndex Agent, ReturnReason Reason, const Packet &Packet,
                   base::TimePoint Now);
   void onUnsure(TargetIndex Agent, const FlowKey &Flow);
@@ -191,6 +211,13 @@
   double SearchFrames = SearchFrameBurst; // that may be sent now
   base::TimePoint SearchFramesAt{};
   uint64_t DroppedSearches = 0;
+  ParkedPackets Parked;
+  base::TimePoint ArrivedAt{}; // of the packet that is being decided
+  bool Replaying = false;      // it was parked before
+  SearchBatch Batch;
+  bool Batching = false; // more searches follow at once
+  bool News = false;     // that parked packets may wait for
+  bool WasSettled = false;
   bool StoreFresh = false;
   bool ListKnown = false;
   bool PeersAsked = true;
--- a/packages/flows/include/burdockstream/flows/FlowDecision.h
+++ b/packages/flows/include/burdockstream/flows/FlowDecision.h
@@ -29,8 +29,10 @@
   Unsettled,       // nobody holds the flow, but the view of agents may be old
   Delivered,       // an opening packet was given to the target
   NotDelivered,    // an opening packet was sent back, see Reason
+  WaitExpired,     // a packet that could not be decided waited in vain
+  AskedAgain,      // agents, Target among them, have not answered a search yet
 };
-inline constexpr size_t DecisionKinds = 13;
+inline constexpr size_t DecisionKinds = 15;
 
 // Returns the name used in logs and metrics. Thread safety: any thread.
 std::string_view toString(DecisionKind Kind);
--- a/packages/flows/include/burdockstream/flows/Packet.h
+++ b/packages/flows/include/burdockstream/flows/Packet.h
@@ -46,6 +46,23 @@
   size_t HeaderBytes = 0;
 };
 
+// Reads the packet headers that stand one after another in a search and in its
+// answer; nothing if one is malformed. Thread safety: any thread.
+inline std::vector<Packet> decodeHeaders(const PacketCodec &Codec,
+                                         std::span<uint8_t> Bytes) {
+  std::vector<Packet> Result;
+  for (; !Bytes.empty(); Bytes = Bytes.subspan(Codec.HeaderBytes)) {
+    const auto Packet =
+        Bytes.size() < Codec.HeaderBytes
+            ? std::nullopt
+            : Codec.DecodeHeader(Bytes.first(Codec.HeaderBytes));
+    if (!Packet)
+      return {};
+    Result.push_back(*Packet);
+  }
+  return Result;
+}
+
 } // namespace burdockstream::flows
 
 #endif
--- a/packages/flows/src/AgentBeliefs.cpp
+++ b/packages/flows/src/AgentBeliefs.cpp
@@ -101,6 +101,7 @@
     return Now - Each.LastHello > BalancerLife;
   });
   expireOpenings(Now);
+  expireWaiting(Now);
   settleTrials(Now);
   const bool Changed = waiting() != SentWaiting || OpenFlows != SentFlows;
   if (Now >= NextStatus)
@@ -113,7 +114,7 @@
   }
   if (Now >= NextNotHeldAging) {
     NotHeld.age([](const FlowKey &, bool) {});
-    Searched.age([](const FlowKey &, uint16_t) {});
+    Trials.age([](const FlowKey &, const Trial &) {});
     NextNotHeldAging = Now + NotHeldLife;
   }
 }
--- a/packages/flows/src/FlowAgent.cpp
+++ b/packages/flows/src/FlowAgent.cpp
@@ -3,6 +3,7 @@
 #include "TargetStates.h"
 
 #include <algorithm>
+#include <map>
 #include <utility>
 
 namespace burdockstream::flows {
@@ -42,8 +43,6 @@
                         const Packet &Packet, base::TimePoint Now) {
   if (Packet.Opens)
     return onOpening(From, Header, Packet, Now);
-  if (Header.Kind == FrameKind::Search)
-    return onSearch(From, Header, Packet);
   if (Header.Kind == FrameKind::Try)
     return onTry(From, Header, Packet, Now);
   onForward(From, Header, Packet, Now);
@@ -99,18 +98,32 @@
     forget(Packet.Flow);
 }
 
-void FlowAgent::onSearch(base::SocketAddress From, const FrameHeader &Header,
-                         const Packet &Packet) {
+std::span<const uint8_t> FlowAgent::headerOf(const Packet &Packet) const {
+  return Packet.Bytes.first(
+      std::min(Packet.Bytes.size(), Options.PacketHeaderBytes));
+}
+
+// Whether the target holds the flow, as the kind of frame that says so.
+FrameKind FlowAgent::holding(const FrameHeader &Header, const Packet &Packet) {
   const bool Foreign =
       Header.Service != base::serviceIdOf(Options.Target.Service);
-  const bool Holds =
-      State != TargetState::Stopped && Flows.use(Packet.Flow) != nullptr;
+  if (State != TargetState::Stopped && Flows.use(Packet.Flow))
+    return FrameKind::Held;
   const bool Knows = State == TargetState::Stopped || KnowsAllFlows ||
-                     Foreign || NotHeld.use(Packet.Flow) != nullptr;
-  const FrameKind Answer = Holds   ? FrameKind::Held
-                           : Knows ? FrameKind::NotHeld
-                                   : FrameKind::Unsure;
-  answer(From, Answer, ReturnReason::None, Packet.Bytes);
+                     Foreign || NotHeld.use(Packet.Flow);
+  return Knows ? FrameKind::NotHeld : FrameKind::Unsure;
+}
+
+void FlowAgent::onSearches(base::SocketAddress From, const FrameHeader &Header,
+                           std::span<const Packet> Packets) {
+  std::map<FrameKind, std::vector<uint8_t>> Answers;
+  for (const Packet &Each : Packets) {
+    std::vector<uint8_t> &Body = Answers[holding(Header, Each)];
+    const auto Named = headerOf(Each);
+    Body.insert(Body.end(), Named.begin(), Named.end());
+  }
+  for (const auto &[Kind, Body] : Answers)
+    answer(From, Kind, ReturnReason::None, Body);
 }
 
 // Only the target knows: it returns the packet if it does not hold the flow.
@@ -119,28 +132,29 @@
   if (Flows.use(Packet.Flow) || State == TargetState::Stopped ||
       NotHeld.use(Packet.Flow) ||
       Header.Service != base::serviceIdOf(Options.Target.Service))
-    return onSearch(From, Header, Packet);
-  Searched.insert(Packet.Flow) = balancerIndex(From);
-  const size_t HeaderSize =
-      std::min(Packet.Bytes.size(), Options.PacketHeaderBytes);
-  Trials.push_back(
-      {Packet.Flow,
-       Now,
-       {Packet.Bytes.begin(),
-        Packet.Bytes.begin() + static_cast<ptrdiff_t>(HeaderSize)}});
+    return answer(From, holding(Header, Packet), ReturnReason::None,
+                  headerOf(Packet));
+  const auto Named = headerOf(Packet);
+  Trials.insert(Packet.Flow) = {balancerIndex(From),
+                                {Named.begin(), Named.end()}};
+  TrialTimes.emplace_back(Packet.Flow, Now);
   deliver(From, Packet, true);
 }
 
+// Tells the balancer that the target holds the flow, if it still asks.
+void FlowAgent::settleTrial(const FlowKey &Flow) {
+  const Trial *Done = Trials.use(Flow);
+  if (!Done)
+    return; // the target returned the packet, or has answered it
+  answer(Senders[Done->Balancer], FrameKind::Held, ReturnReason::None,
+         Done->Header);
+  Trials.erase(Flow);
+}
+
 void FlowAgent::settleTrials(base::TimePoint Now) {
-  for (; !Trials.empty() && Now - Trials.front().At > TrialTime;
-       Trials.pop_front()) {
-    const Trial &Done = Trials.front();
-    const uint16_t *Asker = Searched.use(Done.Flow);
-    if (!Asker)
-      continue; // returned, or answered by the target meanwhile
-    answer(Senders[*Asker], FrameKind::Held, ReturnReason::None, Done.Header);
-    Searched.erase(Done.Flow);
-  }
+  for (; !TrialTimes.empty() && Now - TrialTimes.front().second > TrialTime;
+       TrialTimes.pop_front())
+    settleTrial(TrialTimes.front().first);
 }
 
 void FlowAgent::deliver(base::SocketAddress From, const Packet &Packet,
@@ -166,6 +180,17 @@
   Record.Waiting = true;
   Record.RequestedAt = Now;
   ++Waiting;
+  Requests.emplace_back(Packet.Flow, Now);
+}
+
+void FlowAgent::expireWaiting(base::TimePoint Now) {
+  for (; !Requests.empty() && Now - Requests.front().second > WaitingLife;
+       Requests.pop_front()) {
+    FlowRecord *Record = Flows.use(Requests.front().first);
+    if (Record && Record->RequestedAt == Requests.front().second &&
+        std::exchange(Record->Waiting, false))
+      --Waiting;
+  }
 }
 
 // Load pattern: after an outage hundreds of clients open flows within one
@@ -205,11 +230,7 @@
   if (Packet.Returned)
     return onReturned(Packet, Now);
   FlowRecord &Record = Flows.insert(Packet.Flow);
-  if (const uint16_t *Asker = Searched.use(Packet.Flow)) {
-    answer(Senders[*Asker], FrameKind::Held, ReturnReason::None,
-           Packet.Bytes.first(Options.PacketHeaderBytes));
-    Searched.erase(Packet.Flow);
-  }
+  settleTrial(Packet.Flow);
   if (!Packet.Accepts && !Packet.Aborts) {
     Record.Open = true;
     if (!Record.Counted && !Packet.Finishes) {
@@ -240,7 +261,7 @@
     return answer(From, FrameKind::Returned, ReturnReason::Refused,
                   Packet.Bytes);
   NotHeld.insert(Packet.Flow) = true;
-  Searched.erase(Packet.Flow);
+  Trials.erase(Packet.Flow);
   if (WasOpen) {
     // The flow was open at this target, so no other one can hold it.
     Hooks.SendReset(Packet.Flow, Packet.Acknowledged);
@@ -248,7 +269,8 @@
                   From, FrameHeader(), Now);
   }
   if ((Tag & SearchBit) != 0)
-    return answer(From, FrameKind::NotHeld, ReturnReason::None, Packet.Bytes);
+    return answer(From, FrameKind::NotHeld, ReturnReason::None,
+                  headerOf(Packet));
   answer(From, FrameKind::Returned, ReturnReason::NotHeld, Packet.Bytes);
 }
 
@@ -259,8 +281,6 @@
   Header.Reason = Reason;
   Header.Service = base::serviceIdOf(Options.Target.Service);
   Header.Routes = NewestRoutes;
-  if (Kind != FrameKind::Returned)
-    Body = Body.first(std::min(Body.size(), Options.PacketHeaderBytes));
   Hooks.SendFrame(To, Header, Body);
 }
 
@@ -292,7 +312,8 @@
   });
   Flows.clear();
   Openings.clear();
-  Searched.clear();
+  Requests.clear();
+  Trials.clear();
 }
 
 uint16_t FlowAgent::balancerIndex(base::SocketAddress Address) {
--- a/packages/flows/src/FlowBalancer.cpp
+++ b/packages/flows/src/FlowBalancer.cpp
@@ -16,6 +16,7 @@
   }
   Routes = std::move(Table);
   RoutesSince = Now;
+  News = true;
   NextHello = Now; // agents learn the revision at once
   return true;
 }
@@ -47,7 +48,18 @@
   LastListChange = NextHello = Now;
 }
 
+void FlowBalancer::setStoreFresh(bool Fresh) {
+  News = News || Fresh;
+  StoreFresh = Fresh;
+}
+
 void FlowBalancer::onClientPacket(const Packet &Packet, base::TimePoint Now) {
+  ArrivedAt = Now;
+  Parked.erase(Packet.Flow);
+  handle(Packet, Now);
+}
+
+void FlowBalancer::handle(const Packet &Packet, base::TimePoint Now) {
   if (Packet.Opens)
     return open(Packet, Now);
   const FlowEntry *Entry = Flows.use(Packet.Flow);
@@ -68,6 +80,7 @@
   if (!Route) {
     if (Routes && StoreFresh)
       return refuse(Packet, DecisionKind::RefusedNoRoute, 0);
+    park(Packet, WaitFor::Knowledge);
     return decide(DecisionKind::DroppedNoRoute, Packet.Flow, NoTarget, 0, Now);
   }
   FlowEntry *Known = Flows.use(Packet.Flow);
@@ -124,7 +137,8 @@
   if (!Entry.MayBeOpen && isSettled(Now))
     return refuse(Packet, DecisionKind::RefusedNoTarget,
                   Targets.ofService(Service).size());
-  Entry.Offers = Entry.Refusals = 0; // the client's next copy starts over
+  Entry.Offers = Entry.Refusals = 0; // the next try starts over
+  park(Packet, WaitFor::Knowledge);
   decide(DecisionKind::Unsettled, Packet.Flow, NoTarget,
          Targets.ofService(Service).size(), Now);
 }
@@ -150,8 +164,12 @@
 
 void FlowBalancer::onStatus(base::SocketAddress Agent,
                             const TargetStatus &Status, base::TimePoint Now) {
-  if (!Targets.update(Agent, Status, Now))
+  const Target *Known = Targets.at(Targets.indexOf(Agent));
+  const bool TookFlows = Known && takesFlows(*Known, Now);
+  const Target *Updated = Targets.update(Agent, Status, Now);
+  if (!Updated)
     return;
+  News = News || (!TookFlows && takesFlows(*Updated, Now));
   if (Status.NewestRoutes > (Routes ? Routes->Revision : 0) &&
       Hooks.OnNewerRoutes)
     Hooks.OnNewerRoutes(Status.NewestRoutes, Status.NewestRoutesAt);
@@ -162,15 +180,12 @@
     Targets.forgiveSilence(Now);
   LastTick = Now;
   Targets.expire(Now);
-  std::erase_if(Searches, [&](const auto &Each) {
-    const Search &Running = Each.second;
-    if (Now - Running.Started <= SearchLife)
-      return false;
-    decide(DecisionKind::SearchExpired, Each.first,
-           Running.Open.empty() ? NoTarget : Running.Open.front(),
-           Running.Open.size(), Now);
-    return true;
-  });
+  expireSearches(Now);
+  Batching = true;
+  askAgain(Now);
+  replayParked(Now);
+  Batching = false;
+  sendSearches();
   if (Now >= NextHello)
     sendHellos(Now);
   if (Now >= NextAging) {
@@ -223,7 +238,10 @@
 void FlowBalancer::decide(DecisionKind Kind, const FlowKey &Flow,
                           TargetIndex Index, size_t Candidates,
                           base::TimePoint Now) {
-  if (!Hooks.OnDecision)
+  // A parked packet that stays undecided has its line already.
+  const bool Repeated = Replaying && (Kind == DecisionKind::DroppedNoRoute ||
+                                      Kind == DecisionKind::Unsettled);
+  if (!Hooks.OnDecision || Repeated)
     return;
   FlowDecision Decision;
   Decision.Kind = Kind;
--- a/packages/flows/src/FlowDecision.cpp
+++ b/packages/flows/src/FlowDecision.cpp
@@ -20,6 +20,8 @@
     {DecisionKind::Unsettled, "unsettled"},
     {DecisionKind::Delivered, "delivered"},
     {DecisionKind::NotDelivered, "not_delivered"},
+    {DecisionKind::WaitExpired, "wait_expired"},
+    {DecisionKind::AskedAgain, "asked_again"},
 }});
 
 } // namespace
--- a/packages/flows/src/FlowSearch.cpp
+++ b/packages/flows/src/FlowSearch.cpp
@@ -21,9 +21,11 @@
                           base::TimePoint Now) {
   const Route *Route = Routes ? Routes->find(Packet.Flow) : nullptr;
   if (!Route) {
-    if (!Routes || !StoreFresh)
+    if (!Routes || !StoreFresh) {
+      park(Packet, WaitFor::Knowledge);
       return decide(DecisionKind::DroppedNoRoute, Packet.Flow, NoTarget, 0,
                     Now);
+    }
     Hooks.SendReset(Packet.Flow, Packet.Acknowledged);
     return decide(DecisionKind::RefusedNoRoute, Packet.Flow, NoTarget, 0, Now);
   }
@@ -33,16 +35,21 @@
     for (const base::ServiceId Service : servicesOf(*Route))
       Asked += Targets.ofService(Service).size();
     if (!admitSearch(Asked, Now))
-      return;
-    if (Asked == 0) // an empty list proves nothing
+      return park(Packet, WaitFor::SearchBudget);
+    if (Asked == 0) { // an empty list proves nothing
+      park(Packet, WaitFor::Knowledge);
       return decide(DecisionKind::Unsettled, Packet.Flow, NoTarget, 0, Now);
+    }
     Found = Searches.try_emplace(Packet.Flow).first;
     ask(Found->second, *Route, Excluded, Packet, Now);
   }
   Search &Running = Found->second;
   Running.Acknowledged = Packet.Acknowledged;
-  if (Running.Kept.size() < MaxKept)
+  if (Running.Kept.size() < MaxKept) {
     Running.Kept.emplace_back(Packet.Bytes.begin(), Packet.Bytes.end());
+    Running.Newest = Packet;
+    Running.NewestArrivedAt = ArrivedAt;
+  }
   for (const TargetIndex Index : Running.Unsure)
     if (Targets.at(Index))
       forward(Packet, Index, nullptr, FrameKind::Try);
@@ -53,11 +60,11 @@
   SearchFramesAt = Now;
   SearchFrames = std::min(
       SearchFrameBurst, SearchFrames + Elapsed.count() * SearchFramesPerSecond);
-  if (SearchFrames < static_cast<double>(Asked)) {
-    ++DroppedSearches;
+  const double Frames = static_cast<double>(Asked) /
+                        (Batching ? static_cast<double>(HeadersPerFrame) : 1);
+  if (SearchFrames < Frames)
     return false;
-  }
-  SearchFrames -= static_cast<double>(Asked);
+  SearchFrames -= Frames;
   return true;
 }
 
@@ -67,11 +74,9 @@
                        TargetIndex Excluded, const Packet &Packet,
                        base::TimePoint Now) {
   Running.Started = Now;
+  Running.NextAsk = Now + Running.AskInterval;
   const size_t HeaderBytes =
       std::min(Self.PacketHeaderBytes, Packet.Bytes.size());
-  FrameHeader Header;
-  Header.Kind = FrameKind::Search;
-  Header.Routes = Routes->Revision;
   for (const base::ServiceId Service : servicesOf(Route))
     for (const TargetIndex Index : Targets.ofService(Service)) {
       if (Index == Excluded)
@@ -80,15 +85,78 @@
       // The flows of a process that has ended are gone with it.
       if (Asked.Heard && Asked.Status.State == TargetState::Stopped)
         continue;
-      Header.Service = Service;
-      Hooks.SendFrame(Asked.Agent, Header, Packet.Bytes.first(HeaderBytes));
+      Batch.add(Asked.Agent, Service, Packet.Bytes.first(HeaderBytes));
       if (!isLost(Asked, Now))
         Running.Open.push_back(Index);
     }
+  if (!Batching)
+    sendSearches();
   decide(DecisionKind::Searched, Packet.Flow, Excluded, Running.Open.size(),
          Now);
 }
 
+void FlowBalancer::sendSearches() {
+  Batch.flush(Routes ? Routes->Revision : 0, Hooks.SendFrame);
+}
+
+// Stops waiting for agents that are gone or lost by now.
+void FlowBalancer::dropLost(Search &Running, base::TimePoint Now) {
+  std::erase_if(Running.Open, [&](TargetIndex Index) {
+    const Target *Asked = Targets.at(Index);
+    return !Asked || isLost(*Asked, Now);
+  });
+}
+
+void FlowBalancer::askSilent(Search &Running, base::TimePoint Now) {
+  if (!admitSearch(Running.Open.size(), Now))
+    return;
+  const std::span<const uint8_t> Newest = Running.Kept.back();
+  for (const TargetIndex Index : Running.Open) {
+    if (std::find(Running.Unsure.begin(), Running.Unsure.end(), Index) !=
+        Running.Unsure.end()) {
+      sendKept(Running, Index, FrameKind::Try);
+      continue;
+    }
+    const Target &Silent = *Targets.at(Index);
+    Batch.add(Silent.Agent, Silent.Service,
+              Newest.first(std::min(Self.PacketHeaderBytes, Newest.size())));
+  }
+}
+
+void FlowBalancer::askAgain(base::TimePoint Now) {
+  std::vector<FlowKey> Settled;
+  for (auto &[Flow, Running] : Searches) {
+    if (Now < Running.NextAsk)
+      continue;
+    Running.AskInterval *= 2;
+    Running.NextAsk = Now + Running.AskInterval;
+    dropLost(Running, Now);
+    if (Running.Open.empty()) {
+      Settled.push_back(Flow);
+      continue;
+    }
+    askSilent(Running, Now);
+    decide(DecisionKind::AskedAgain, Flow, Running.Open.front(),
+           Running.Open.size(), Now);
+  }
+  for (const FlowKey &Flow : Settled) {
+    auto Done = Searches.extract(Flow);
+    finishSearch(Flow, Done.mapped(), Now);
+  }
+}
+
+void FlowBalancer::expireSearches(base::TimePoint Now) {
+  std::erase_if(Searches, [&](const auto &Each) {
+    const Search &Running = Each.second;
+    if (Now - Running.Started <= SearchLife)
+      return false;
+    decide(DecisionKind::SearchExpired, Each.first,
+           Running.Open.empty() ? NoTarget : Running.Open.front(),
+           Running.Open.size(), Now);
+    return true;
+  });
+}
+
 void FlowBalancer::sendKept(const Search &Running, TargetIndex Index,
                             FrameKind Kind) {
   const Target &To = *Targets.at(Index);
@@ -100,11 +168,17 @@
     Hooks.SendFrame(To.Agent, Header, Bytes);
 }
 
-void FlowBalancer::finishSearch(const FlowKey &Flow, const Search &Done,
+void FlowBalancer::finishSearch(const FlowKey &Flow, Search &Done,
                                 base::TimePoint Now) {
   const bool Settled = isSettled(Now);
-  if (Settled)
+  if (Settled) {
     Hooks.SendReset(Flow, Done.Acknowledged);
+  } else {
+    Packet Waiting = Done.Newest;
+    Waiting.Bytes = Done.Kept.back();
+    ArrivedAt = Done.NewestArrivedAt;
+    park(Waiting, WaitFor::SettledView);
+  }
   decide(Settled ? DecisionKind::ResetUnheld : DecisionKind::Unsettled, Flow,
          NoTarget, 0, Now);
   Flows.erase(Flow);
@@ -116,6 +190,7 @@
   const TargetIndex Index = Targets.indexOf(Agent);
   if (Index == NoTarget)
     return;
+  ArrivedAt = Now;
   switch (Header.Kind) {
   case FrameKind::Returned:
     return onReturned(Index, Header.Reason, Packet, Now);
@@ -155,7 +230,9 @@
   const auto Found = Searches.find(Flow);
   if (Found == Searches.end())
     return;
-  Found->second.Unsure.push_back(Agent);
+  auto &Unsure = Found->second.Unsure;
+  if (std::find(Unsure.begin(), Unsure.end(), Agent) == Unsure.end())
+    Unsure.push_back(Agent);
   sendKept(Found->second, Agent, FrameKind::Try);
 }
 
@@ -166,7 +243,10 @@
   if (Found == Searches.end())
     return;
   Flows.insert(Flow).Target = Agent;
-  sendKept(Found->second, Agent, FrameKind::Forward);
+  // An agent that was unsure has given the packets to its target already.
+  const auto &Unsure = Found->second.Unsure;
+  if (std::find(Unsure.begin(), Unsure.end(), Agent) == Unsure.end())
+    sendKept(Found->second, Agent, FrameKind::Forward);
   Searches.erase(Found);
   decide(DecisionKind::Found, Flow, Agent, 0, Now);
 }
@@ -180,8 +260,8 @@
   std::erase(Found->second.Unsure, Agent);
   if (!Found->second.Open.empty())
     return;
-  finishSearch(Packet.Flow, Found->second, Now);
-  Searches.erase(Found);
+  auto Done = Searches.extract(Found);
+  finishSearch(Packet.Flow, Done.mapped(), Now);
 }
 
 } // namespace burdockstream::flows
--- a/packages/flows/test/FlowFixture.cpp
+++ b/packages/flows/test/FlowFixture.cpp
@@ -10,6 +10,7 @@
 constexpr uint32_t AgentIps = 0x0A010000;
 constexpr uint32_t BalancerIps = 0x0A020000;
 constexpr uint16_t DaemonPort = 7000;
+constexpr uint8_t DataByte = 0xFF; // four of them are no index
 
 std::pair<uint64_t, uint64_t> keyOf(const FlowKey &Flow) {
   return {base::packAddress(Flow.Client), base::packAddress(Flow.Service)};
@@ -17,11 +18,12 @@
 
 } // namespace
 
-Packet PacketBook::write(Packet Value) {
+Packet PacketBook::write(Packet Value, Sender Writer) {
   const auto Index = static_cast<uint32_t>(Packets.size());
-  Storage.emplace_back(sizeof(Index) + Value.DataBytes);
+  Storage.emplace_back(sizeof(Index) + Value.DataBytes, DataByte);
   std::memcpy(Storage.back().data(), &Index, sizeof(Index));
   Packets.push_back(Value);
+  Writers.push_back(Writer);
   Value.Bytes = Storage.back();
   return Value;
 }
@@ -34,6 +36,18 @@
   return Value;
 }
 
+std::optional<Packet>
+PacketBook::readClientHeader(std::span<uint8_t> Bytes) const {
+  uint32_t Index = 0;
+  std::memcpy(&Index, Bytes.data(), sizeof(Index));
+  if (Index >= Packets.size())
+    return std::nullopt;
+  Packet Value = read(Bytes);
+  if (Writers[Index] == Sender::Target)
+    std::swap(Value.Flow.Client, Value.Flow.Service);
+  return Value;
+}
+
 void PacketBook::stamp(std::span<uint8_t> Bytes, uint32_t Tag) {
   uint32_t Index = 0;
   std::memcpy(&Index, Bytes.data(), sizeof(Index));
@@ -212,6 +226,8 @@
   while (!Frames.empty()) {
     Frame Moved = std::move(Frames.front());
     Frames.pop_front();
+    if (Loses && Loses(Moved.To, Moved.Header.Kind))
+      continue;
     for (AgentPlace &Place : Agents)
       if (Place.Address == Moved.To && Place.Running)
         toAgent(Place, Moved);
@@ -221,7 +237,19 @@
   }
 }
 
+std::vector<Packet> World::headers(std::span<uint8_t> Bytes) const {
+  PacketCodec Codec;
+  Codec.HeaderBytes = sizeof(uint32_t);
+  Codec.DecodeHeader = [this](std::span<uint8_t> One) {
+    return Book.readClientHeader(One);
+  };
+  return decodeHeaders(Codec, Bytes);
+}
+
 void World::toAgent(AgentPlace &Place, Frame &Moved) {
+  if (Moved.Header.Kind == FrameKind::Search)
+    return Place.Core->onSearches(Moved.From, Moved.Header,
+                                  headers(Moved.Body));
   if (Moved.Header.Kind != FrameKind::Hello)
     return Place.Core->onFrame(Moved.From, Moved.Header, Book.read(Moved.Body),
                                Now);
@@ -230,9 +258,14 @@
 }
 
 void World::toBalancer(BalancerPlace &Place, Frame &Moved) {
-  if (Moved.Header.Kind != FrameKind::Status)
+  if (Moved.Header.Kind == FrameKind::Returned)
     return Place.Core->onAgentAnswer(Moved.From, Moved.Header,
                                      Book.read(Moved.Body), Now);
+  if (Moved.Header.Kind != FrameKind::Status) {
+    for (const Packet &Each : headers(Moved.Body))
+      Place.Core->onAgentAnswer(Moved.From, Moved.Header, Each, Now);
+    return;
+  }
   if (const auto Status = unpackStatus(Moved.Body))
     Place.Core->onStatus(Moved.From, *Status, Now);
 }
@@ -260,7 +293,7 @@
     return;
   Answer.Opens = false;
   Answer.Accepts = Arrived.Opens;
-  Place.Core->onTargetPacket(Book.write(Answer), Now);
+  Place.Core->onTargetPacket(Book.write(Answer, Sender::Target), Now);
 }
 
 } // namespace burdockstream::flows::test
--- a/packages/flows/test/FlowFixture.h
+++ b/packages/flows/test/FlowFixture.h
@@ -25,12 +25,16 @@
 class PacketBook {
 public:
   // Keeps Value and returns it with bytes that name it.
-  Packet write(Packet Value);
+  Packet write(Packet Value, Sender Writer = Sender::Client);
   Packet read(std::span<uint8_t> Bytes) const;
+  // As a codec reads a header that a client should have written: of one that a
+  // target wrote it takes the ends for each other, and data are malformed.
+  std::optional<Packet> readClientHeader(std::span<uint8_t> Bytes) const;
   void stamp(std::span<uint8_t> Bytes, uint32_t Tag);
 
 private:
   std::vector<Packet> Packets;
+  std::vector<Sender> Writers;
   std::deque<std::vector<uint8_t>> Storage;
 };
 
@@ -104,6 +108,8 @@
   std::vector<FlowDecision> Decisions;
   std::vector<std::pair<base::Revision, base::SocketAddress>> NewerRoutes;
   std::vector<base::SocketAddress> Missing; // balancers that lack an entry
+  // Whether a frame is lost on its way; none are if it is empty.
+  std::function<bool(base::SocketAddress To, FrameKind)> Loses;
   PacketBook Book;
   base::TimePoint Now = base::TimePoint(std::chrono::seconds(100));
 
@@ -118,6 +124,7 @@
   std::unique_ptr<FlowAgent> makeAgent(size_t Index);
   std::unique_ptr<FlowBalancer> makeBalancer(size_t Index);
   void deliverFrames();
+  std::vector<Packet> headers(std::span<uint8_t> Bytes) const;
   void toAgent(AgentPlace &Place, Frame &Moved);
   void toBalancer(BalancerPlace &Place, Frame &Moved);
   void atTarget(AgentPlace &Place, const Packet &Arrived);
