--- a/packages/ctl/include/burdockstream/ctl/Command.h
+++ b/packages/ctl/include/burdockstream/ctl/Command.h
@@ -25,6 +25,10 @@
   Endpoints,
   Drain,
   Metrics,
+  FlowStatus,
+  FlowRoutes,
+  FlowTargets,
+  FlowTrace,
 };
 
 // The flags as gflags parsed them.
--- a/packages/ctl/include/burdockstream/ctl/Connection.h
+++ b/packages/ctl/include/burdockstream/ctl/Connection.h
@@ -5,6 +5,7 @@
 
 #include "burdockstream/admin/RpcClient.h"
 #include "burdockstream/ctl/Run.h"
+#include "burdockstream/http/HttpClient.h"
 
 #include <string>
 #include <vector>
@@ -35,6 +36,11 @@
   callEach(const std::vector<base::SocketAddress> &Servers,
            const std::string &Method, base::Duration Limit);
 
+  // Fetches the JSON document at Path from each of Servers, all at once.
+  std::vector<base::Result<Json::Value>>
+  fetchEach(const std::vector<base::SocketAddress> &Servers,
+            const std::string &Path);
+
 private:
   admin::RpcResult callAt(base::SocketAddress Server, const std::string &Method,
                           const Json::Value &Parameters);
@@ -42,6 +48,7 @@
 
   ConnectionSettings Settings;
   admin::RpcClient Client;
+  http::HttpClient Reader;
   size_t Selected = 0;
 };
 
--- a/packages/ctl/include/burdockstream/ctl/Run.h
+++ b/packages/ctl/include/burdockstream/ctl/Run.h
@@ -29,6 +29,11 @@
       const std::vector<base::SocketAddress> &Servers,
       const std::string &Method, base::Duration Limit)>
       CallEach;
+  // Fetches the JSON document at Path from each of Servers, all at once, and
+  // returns the results in the same order.
+  std::function<std::vector<base::Result<Json::Value>>(
+      const std::vector<base::SocketAddress> &Servers, const std::string &Path)>
+      FetchEach;
   std::function<base::TimePoint()> Now;
   std::function<void(base::Duration)> Wait;
 };
--- a/packages/ctl/src/Command.cpp
+++ b/packages/ctl/src/Command.cpp
@@ -21,6 +21,7 @@
   Read,
   Write,
   Drain, // a write that reads the record first
+  Flow,  // asks daemons of flow services, which need no token
 };
 
 struct VerbInfo {
@@ -34,7 +35,7 @@
   ctl::Kind Kind;
 };
 
-constexpr std::array<VerbInfo, 10> Verbs = {{
+constexpr std::array<VerbInfo, 14> Verbs = {{
     {Verb::RecordPut, "record put", "FILE", "create or replace a record", 1, 1,
      false, Kind::Write},
     {Verb::RecordGet, "record get", "SERVICE", "print a record", 1, 1, true,
@@ -54,6 +55,16 @@
      "drain the endpoint at a data address", 2, 2, true, Kind::Drain},
     {Verb::Metrics, "metrics", "[PREFIX]", "list the metrics of a balancer", 0,
      1, false, Kind::Read},
+    {Verb::FlowStatus, "flow status", "",
+     "list daemons of flow services and the routes in force", 0, 0, false,
+     Kind::Flow},
+    {Verb::FlowRoutes, "flow routes", "", "list the flow services' addresses",
+     0, 0, false, Kind::Flow},
+    {Verb::FlowTargets, "flow targets", "",
+     "list the targets that a balancer knows", 0, 0, false, Kind::Flow},
+    {Verb::FlowTrace, "flow trace", "CLIENT SERVICE",
+     "show what each daemon knows of the flow between two addresses", 2, 2,
+     false, Kind::Flow},
 }};
 
 base::Error usageError(const std::string &Text) {
@@ -121,12 +132,24 @@
   if (Flags.Server.empty())
     return usageError("the command needs a balancer; add "
                       "--server=IP:PORT,... with control addresses");
-  if (Flags.TokenFile.empty())
+  if (Info.Kind == Kind::Flow && !Flags.TokenFile.empty())
+    return usageError("--token_file: the command needs no token; remove the "
+                      "flag");
+  if (Flags.TokenFile.empty() && Info.Kind != Kind::Flow)
     return usageError("the command needs a team's token; add "
                       "--token_file=FILE");
   return boost::outcome_v2::success();
 }
 
+base::Result<void> checkAddresses(const std::vector<std::string> &Words) {
+  for (const std::string &Word : Words) {
+    const auto Address = base::parseSocketAddress(Word);
+    if (Address.has_error())
+      return usageError(Address.error().Message);
+  }
+  return boost::outcome_v2::success();
+}
+
 base::Result<void> readFlags(const FlagValues &Flags, Command &Out) {
   auto Checked = checkTimes(Flags);
   if (Checked.has_error())
@@ -172,6 +195,8 @@
                       "' is not the name of a service; write lower-case "
                       "letters, digits and inner hyphens");
   auto Checked = checkUse(*Info, Flags);
+  if (Checked.has_value() && Info->Verb == Verb::FlowTrace)
+    Checked = checkAddresses(Out.Arguments);
   if (Checked.has_value())
     Checked = readFlags(Flags, Out);
   if (Checked.has_error())
@@ -180,7 +205,7 @@
 }
 
 std::string usageText() {
-  std::string Text = "Commands:\n";
+  std::string Text = "Usage: burdockstreamctl [FLAGS] COMMAND\nCommands:\n";
   for (const VerbInfo &Info : Verbs) {
     std::string Line = "  " + usageLine(Info);
     Line.resize(std::max<size_t>(Line.size() + 2, 46), ' ');
--- a/packages/ctl/src/CommandLine.cpp
+++ b/packages/ctl/src/CommandLine.cpp
@@ -1,6 +1,6 @@
 #include "burdockstream/ctl/Command.h"
 
-#include <gflags/gflags.h>
+#include "burdockstream/base/ProgramFlags.h"
 
 DEFINE_bool(json, false, "print JSON in place of a table");
 DEFINE_string(server, "",
@@ -20,8 +20,7 @@
 namespace burdockstream::ctl {
 
 base::Result<Command> parseCommandLine(int Argc, char **Argv) {
-  gflags::SetUsageMessage(usageText());
-  gflags::ParseCommandLineFlags(&Argc, &Argv, true);
+  base::parseProgramFlags(usageText(), __FILE__, &Argc, &Argv);
   FlagValues Flags;
   Flags.Json = FLAGS_json;
   Flags.Server = FLAGS_server;
--- a/packages/ctl/src/Commands.h
+++ b/packages/ctl/src/Commands.h
@@ -19,6 +19,11 @@
 Output showEndpoints(const Command &Command, const Hooks &Hooks);
 Output showMetrics(const Command &Command, const Hooks &Hooks);
 
+Output showFlowStatus(const Command &Command, const Hooks &Hooks);
+Output showFlowRoutes(const Command &Command, const Hooks &Hooks);
+Output showFlowTargets(const Command &Command, const Hooks &Hooks);
+Output traceFlow(const Command &Command, const Hooks &Hooks);
+
 } // namespace burdockstream::ctl::detail
 
 #endif
--- a/packages/ctl/src/Connection.cpp
+++ b/packages/ctl/src/Connection.cpp
@@ -21,6 +21,23 @@
   return Method == "record.put" || Method == "record.retire";
 }
 
+base::Result<Json::Value>
+readDocument(base::SocketAddress From,
+             const base::Result<http::HttpResponse> &Answer) {
+  if (Answer.has_error())
+    return Answer.error();
+  const std::string Name = base::toString(From);
+  if (Answer.value().Status != 200)
+    return base::makeError(ErrorKind::NotFound,
+                           Name + " answered with HTTP status " +
+                               std::to_string(Answer.value().Status) +
+                               "; name a daemon of flow services");
+  const auto Document = base::JsonDocument::parse(Answer.value().Body, Name);
+  if (Document.has_error())
+    return Document.error();
+  return Document.value().root();
+}
+
 // Whether another server may be asked after Error without the risk that the
 // method runs twice.
 bool mayAskNext(const std::string &Method, ErrorKind Kind) {
@@ -93,6 +110,28 @@
   return Results;
 }
 
+std::vector<base::Result<Json::Value>>
+Connection::fetchEach(const std::vector<base::SocketAddress> &Servers,
+                      const std::string &Path) {
+  std::vector<base::Result<Json::Value>> Results(
+      Servers.size(),
+      base::makeError(ErrorKind::Unavailable, "no answer; check the address"));
+  size_t Outstanding = Servers.size();
+  for (size_t I = 0; I < Servers.size(); ++I)
+    Reader.send({"http://" + base::toString(Servers[I]) + Path,
+                 "",
+                 {},
+                 std::min(Settings.Timeout, ReadTimeout),
+                 "GET"},
+                [&, I](const base::Result<http::HttpResponse> &Answer) {
+                  --Outstanding;
+                  Results[I] = readDocument(Servers[I], Answer);
+                });
+  while (Outstanding > 0)
+    g_main_context_iteration(nullptr, TRUE);
+  return Results;
+}
+
 Hooks programHooks(Connection &Link) {
   Hooks Hooks;
   Hooks.ReadFile = base::readTextFile;
@@ -104,6 +143,10 @@
                            const std::string &Method, base::Duration Limit) {
     return Link.callEach(Servers, Method, Limit);
   };
+  Hooks.FetchEach = [&Link](const std::vector<base::SocketAddress> &Servers,
+                            const std::string &Path) {
+    return Link.fetchEach(Servers, Path);
+  };
   Hooks.Now = [] {
     return base::TimePoint(base::Duration(g_get_monotonic_time()));
   };
--- a/packages/ctl/src/Run.cpp
+++ b/packages/ctl/src/Run.cpp
@@ -26,6 +26,14 @@
     return detail::drainEndpoint(Command, Hooks);
   case Verb::Metrics:
     return detail::showMetrics(Command, Hooks);
+  case Verb::FlowStatus:
+    return detail::showFlowStatus(Command, Hooks);
+  case Verb::FlowRoutes:
+    return detail::showFlowRoutes(Command, Hooks);
+  case Verb::FlowTargets:
+    return detail::showFlowTargets(Command, Hooks);
+  case Verb::FlowTrace:
+    return detail::traceFlow(Command, Hooks);
   }
   return {ExitCode::Usage, "", "the command is unknown; see --help\n"};
 }
--- a/packages/ctl/test/FakeServer.h
+++ b/packages/ctl/test/FakeServer.h
@@ -28,6 +28,8 @@
   std::map<std::string, std::vector<admin::RpcResult>> Answers;
   // Answers to CallEach by server and by round; the last one is used again.
   std::map<std::string, std::vector<admin::RpcResult>> Status;
+  // Documents by server and path; others do not answer.
+  std::map<std::string, Json::Value> Documents;
   std::map<std::string, std::string> Files;
   std::vector<std::pair<std::string, Json::Value>> Calls;
   base::TimePoint Time{};
@@ -66,6 +68,19 @@
         Results.push_back(next(Status, base::toString(Server)));
       return Results;
     };
+    Hooks.FetchEach = [this](const std::vector<base::SocketAddress> &Servers,
+                             const std::string &Path) {
+      std::vector<base::Result<Json::Value>> Results;
+      for (const base::SocketAddress Server : Servers) {
+        const auto Found = Documents.find(base::toString(Server) + Path);
+        if (Found == Documents.end())
+          Results.emplace_back(
+              error(base::ErrorKind::Unavailable, "does not answer"));
+        else
+          Results.emplace_back(Found->second);
+      }
+      return Results;
+    };
     Hooks.Now = [this] { return Time; };
     Hooks.Wait = [this](base::Duration Pause) { Time += Pause; };
     return Hooks;
--- a/packages/daemon/src/main.cpp
+++ b/packages/daemon/src/main.cpp
@@ -2,9 +2,9 @@
 // thread.
 #include "AgentDaemon.h"
 #include "BalancerDaemon.h"
+#include "burdockstream/base/ProgramFlags.h"
 
 #include <cstdlib>
-#include <gflags/gflags.h>
 #include <glib-unix.h>
 #include <glog/logging.h>
 #include <iostream>
@@ -75,8 +75,10 @@
 
 int main(int argc, char **argv) {
   gflags::SetVersionString(BURDOCKSTREAM_VERSION);
-  gflags::SetUsageMessage("load balancer daemon; needs --settings=FILE");
-  gflags::ParseCommandLineFlags(&argc, &argv, true);
+  base::parseProgramFlags(
+      "Usage: burdockstreamd --settings=FILE [--check_settings]\n"
+      "Runs a balancer or an agent of CoAP services.",
+      __FILE__, &argc, &argv);
   FLAGS_logtostderr = true; // the VMs have no disks
   google::InitGoogleLogging(argv[0]);
   if (sodium_init() < 0) {
--- a/packages/flowd/src/FlowReports.cpp
+++ b/packages/flowd/src/FlowReports.cpp
@@ -123,6 +123,7 @@
   Registry.gauge("targets_ready").set(Ready);
   Registry.gauge("flows").set(static_cast<int64_t>(Core.flows()));
   Registry.gauge("searches").set(static_cast<int64_t>(Core.searches()));
+  Registry.gauge("packets_parked").set(static_cast<int64_t>(Core.parked()));
   Registry.gauge("searches_dropped")
       .set(static_cast<int64_t>(Core.droppedSearches()));
 }
--- a/testing/flow_soak/src/main.cpp
+++ b/testing/flow_soak/src/main.cpp
@@ -1,8 +1,8 @@
 // flow_soak: runs seeds one after another and prints a line for each.
 #include "FlowSoak.h"
+#include "burdockstream/base/ProgramFlags.h"
 
 #include <cstdlib>
-#include <gflags/gflags.h>
 #include <iostream>
 
 DEFINE_uint64(seed, 1, "the first seed");
@@ -11,9 +11,10 @@
 DEFINE_string(logs, "/tmp", "folder for settings and standard errors");
 
 int main(int argc, char **argv) {
-  gflags::SetUsageMessage("flow_soak [--seed=N] [--seeds=N] [--fault_ms=N]\n"
-                          "soaks flow services with faults from outside");
-  gflags::ParseCommandLineFlags(&argc, &argv, true);
+  burdockstream::base::parseProgramFlags(
+      "Usage: flow_soak [--seed=N] [--seeds=N] [--fault_ms=N]\n"
+      "Soaks flow services with faults from outside.",
+      __FILE__, &argc, &argv);
   bool Clean = true;
   for (uint64_t Seed = FLAGS_seed; Seed < FLAGS_seed + FLAGS_seeds; ++Seed) {
     const auto Report = burdockstream::flowsoak::runSoak(
