Read and write JSON in one way

The writers of admin, store, messages and ownership, and the readers of admin, http, daemon and ownership, are base::compactJson and base::JsonDocument. The readers that are gone let jsoncpp throw on text that is nested too deeply.

--- a/packages/admin/src/JsonCodec.cpp
+++ b/packages/admin/src/JsonCodec.cpp
@@ -1,24 +1,13 @@
 #include "JsonCodec.h"
 
-#include <json/reader.h>
-#include <json/writer.h>
-#include <memory>
+#include "burdockstream/base/JsonText.h"
 
 namespace burdockstream::admin::internal {
 
 Json::Value parseJson(const std::string &Text) {
-  Json::CharReaderBuilder Builder;
-  const std::unique_ptr<Json::CharReader> Reader(Builder.newCharReader());
-  Json::Value Value;
-  if (!Reader->parse(Text.data(), Text.data() + Text.size(), &Value, nullptr))
-    return Json::nullValue;
-  return Value;
-}
-
-std::string writeJson(const Json::Value &Value) {
-  Json::StreamWriterBuilder Builder;
-  Builder["indentation"] = "";
-  return Json::writeString(Builder, Value);
+  const auto Document = base::JsonDocument::parse(Text, "request");
+  return Document.has_value() ? Document.value().root()
+                              : Json::Value(Json::nullValue);
 }
 
 } // namespace burdockstream::admin::internal
--- a/packages/admin/src/JsonCodec.h
+++ b/packages/admin/src/JsonCodec.h
@@ -1,4 +1,4 @@
-// Reading and writing of JSON texts for this package.
+// Reading of JSON texts for this package.
 #ifndef BURDOCKSTREAM_ADMIN_JSONCODEC_H
 #define BURDOCKSTREAM_ADMIN_JSONCODEC_H
 
@@ -10,9 +10,6 @@
 // Parses Text; malformed input gives a null value.
 Json::Value parseJson(const std::string &Text);
 
-// Writes Value without line breaks.
-std::string writeJson(const Json::Value &Value);
-
 } // namespace burdockstream::admin::internal
 
 #endif
--- a/packages/admin/src/RpcClient.cpp
+++ b/packages/admin/src/RpcClient.cpp
@@ -1,6 +1,6 @@
 #include "burdockstream/admin/RpcClient.h"
 
-#include "JsonCodec.h"
+#include "burdockstream/base/JsonText.h"
 
 #include <array>
 #include <utility>
@@ -51,7 +51,7 @@
   Request["method"] = Call.Method;
   Request["params"] = Call.Parameters;
   http::HttpRequest Post{"http://" + base::toString(Call.Server) + "/rpc",
-                         internal::writeJson(Request),
+                         base::compactJson(Request),
                          {},
                          Call.Timeout};
   if (!Credentials.Token.empty())
--- a/packages/admin/src/RpcConnector.cpp
+++ b/packages/admin/src/RpcConnector.cpp
@@ -1,6 +1,7 @@
 #include "RpcConnector.h"
 
 #include "JsonCodec.h"
+#include "burdockstream/base/JsonText.h"
 
 #include <optional>
 #include <utility>
@@ -63,12 +64,12 @@
   Answer["id"] = Id;
   if (Result.has_value()) {
     Answer["result"] = Result.value();
-    return writeJson(Answer);
+    return base::compactJson(Answer);
   }
   Answer["error"]["code"] = errorCode(Result.error().Kind);
   Answer["error"]["message"] = Result.error().Message;
   Answer["error"]["data"] = errorData(Result.error());
-  return writeJson(Answer);
+  return base::compactJson(Answer);
 }
 
 std::optional<base::Error> checkAccess(const RpcMethod &Method,
--- a/packages/daemon/src/Daemon.cpp
+++ b/packages/daemon/src/Daemon.cpp
@@ -1,10 +1,10 @@
 #include "Daemon.h"
 
 #include "Clock.h"
+#include "burdockstream/base/JsonText.h"
 #include "burdockstream/base/NameTable.h"
 
 #include <array>
-#include <json/reader.h>
 #include <memory>
 #include <sodium.h>
 #include <utility>
@@ -81,12 +81,11 @@
 admin::RpcMethod metricsMethod(const base::Metrics &Registry) {
   const auto Compute = [&Registry](const admin::RpcCaller &,
                                    const Json::Value &) {
-    const std::string Text = base::toJson(Registry.snapshot());
-    const std::unique_ptr<Json::CharReader> Reader(
-        Json::CharReaderBuilder().newCharReader());
-    Json::Value Snapshot;
-    Reader->parse(Text.data(), Text.data() + Text.size(), &Snapshot, nullptr);
-    return admin::RpcResult(Snapshot);
+    const auto Document =
+        base::JsonDocument::parse(base::toJson(Registry.snapshot()), "metrics");
+    if (Document.has_error())
+      return admin::RpcResult(Document.error());
+    return admin::RpcResult(Document.value().root());
   };
   return {"metrics", admin::Access::Team, {}, admin::immediate(Compute)};
 }
--- a/packages/http/src/SoupRequest.cpp
+++ b/packages/http/src/SoupRequest.cpp
@@ -1,7 +1,7 @@
 #include "SoupRequest.h"
 
-#include <json/reader.h>
-#include <memory>
+#include "burdockstream/base/JsonText.h"
+
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 
@@ -74,13 +74,11 @@
 }
 
 base::Result<Json::Value> parseAnswer(std::string_view Text) {
-  Json::CharReaderBuilder Builder;
-  const std::unique_ptr<Json::CharReader> Reader(Builder.newCharReader());
-  Json::Value Value;
-  std::string Problems;
-  if (!Reader->parse(Text.data(), Text.data() + Text.size(), &Value, &Problems))
-    return makeError(ErrorKind::Corrupt, "the answer is not JSON: " + Problems);
-  return Value;
+  const auto Document = base::JsonDocument::parse(Text, "answer");
+  if (Document.has_error())
+    return makeError(ErrorKind::Corrupt,
+                     "the answer is not JSON: " + Document.error().Message);
+  return Document.value().root();
 }
 
 } // namespace burdockstream::http::internal
--- a/packages/messages/src/EventTrace.cpp
+++ b/packages/messages/src/EventTrace.cpp
@@ -1,10 +1,11 @@
 #include "burdockstream/messages/EventTrace.h"
 
+#include "burdockstream/base/JsonText.h"
+
 #include <algorithm>
 #include <bit>
 #include <cstdio>
 #include <json/reader.h>
-#include <json/writer.h>
 #include <memory>
 #include <optional>
 
@@ -221,9 +222,7 @@
   Object["wall_ms"] = Json::Int64{Line.At.Wall.Milliseconds};
   Object["name"] = Line.Name;
   Object["data"] = Line.Data;
-  Json::StreamWriterBuilder Builder;
-  Builder["indentation"] = "";
-  return Json::writeString(Builder, Object);
+  return base::compactJson(Object);
 }
 
 base::Result<TraceLine> parseTraceLine(std::string_view Text) {
--- a/packages/ownership/src/OwnersRecord.cpp
+++ b/packages/ownership/src/OwnersRecord.cpp
@@ -1,10 +1,10 @@
 #include "burdockstream/ownership/OwnersRecord.h"
 
+#include "burdockstream/base/JsonText.h"
+
 #include <algorithm>
 #include <charconv>
 #include <glog/logging.h>
-#include <json/json.h>
-#include <memory>
 #include <optional>
 #include <unordered_map>
 #include <unordered_set>
@@ -122,18 +122,14 @@
     }
     Buckets.append(Item);
   }
-  Json::StreamWriterBuilder Writer;
-  Writer["indentation"] = "";
-  return Json::writeString(Writer, Root);
+  return base::compactJson(Root);
 }
 
 base::Result<OwnersRecord> decodeOwnersRecord(std::string_view Text) {
-  const std::unique_ptr<Json::CharReader> Reader(
-      Json::CharReaderBuilder().newCharReader());
-  Json::Value Root;
-  std::string Errors;
-  if (!Reader->parse(Text.data(), Text.data() + Text.size(), &Root, &Errors))
-    return corrupt("not JSON: " + Errors);
+  const auto Document = base::JsonDocument::parse(Text, "owners record");
+  if (Document.has_error())
+    return corrupt("not JSON: " + Document.error().Message);
+  const Json::Value &Root = Document.value().root();
   if (!Root.isObject() || !Root["v"].isInt() ||
       Root["v"].asInt() != FormatVersion)
     return corrupt("unknown format version");
--- a/packages/store/include/burdockstream/store/EtcdJson.h
+++ b/packages/store/include/burdockstream/store/EtcdJson.h
@@ -29,9 +29,6 @@
 // and reads it if not. Thread safety: any thread.
 Json::Value casBody(const CasRequest &Request);
 
-// Writes Value without line breaks. Thread safety: any thread.
-std::string toText(const Json::Value &Value);
-
 } // namespace burdockstream::store::etcd
 
 #endif
--- a/packages/store/src/EtcdJson.cpp
+++ b/packages/store/src/EtcdJson.cpp
@@ -1,7 +1,6 @@
 #include "burdockstream/store/EtcdJson.h"
 
 #include <charconv>
-#include <json/writer.h>
 
 namespace burdockstream::store::etcd {
 
@@ -63,10 +62,4 @@
   return Body;
 }
 
-std::string toText(const Json::Value &Value) {
-  Json::StreamWriterBuilder Builder;
-  Builder["indentation"] = "";
-  return Json::writeString(Builder, Value);
-}
-
 } // namespace burdockstream::store::etcd
--- a/packages/store/src/StoreClient.cpp
+++ b/packages/store/src/StoreClient.cpp
@@ -1,5 +1,6 @@
 #include "burdockstream/store/StoreClient.h"
 
+#include "burdockstream/base/JsonText.h"
 #include "burdockstream/store/EtcdJson.h"
 
 #include <glog/logging.h>
@@ -84,7 +85,8 @@
 
 void StoreClient::call(const std::string &Path, const Json::Value &Body,
                        http::JsonCallback Callback) {
-  const http::HttpRequest Request{url(Path), etcd::toText(Body), {}, Timeout};
+  const http::HttpRequest Request{
+      url(Path), base::compactJson(Body), {}, Timeout};
   Client.postJson(
       Request, [this, Done = std::move(Callback)](Result<Json::Value> Answer) {
         if (Answer.has_error())
@@ -181,7 +183,7 @@
   Json::Value Body;
   Body["create_request"] = Create;
   return Client.streamJson(
-      {url("/v3/watch"), etcd::toText(Body), {}, Timeout},
+      {url("/v3/watch"), base::compactJson(Body), {}, Timeout},
       [Deliver = std::move(OnEvent)](const Json::Value &Answer) {
         deliverWatchAnswer(Answer, Deliver);
       },
--- a/testing/store_standin/src/StoreStandIn.cpp
+++ b/testing/store_standin/src/StoreStandIn.cpp
@@ -1,5 +1,6 @@
 #include "burdockstream/testing/StoreStandIn.h"
 
+#include "burdockstream/base/JsonText.h"
 #include "burdockstream/base/NameTable.h"
 #include "burdockstream/store/EtcdJson.h"
 
@@ -120,7 +121,7 @@
   else if (Answer.isNull())
     Out->send({404, "text/plain", "no such path"});
   else
-    Out->send({200, "application/json", etcd::toText(Answer)});
+    Out->send({200, "application/json", base::compactJson(Answer)});
 }
 
 void StoreStandIn::control(const Json::Value &Body,
@@ -139,7 +140,7 @@
   Counters["writes"] = Json::UInt64(Writes);
   Counters["watches"] = Json::UInt64(Watchers.size());
   Counters["revision"] = Json::Int64(Current);
-  Out->send({200, "application/json", etcd::toText(Counters)});
+  Out->send({200, "application/json", base::compactJson(Counters)});
 }
 
 Json::Value StoreStandIn::execute(const std::string &Path,
--- a/testing/store_standin/src/StoreWatches.cpp
+++ b/testing/store_standin/src/StoreWatches.cpp
@@ -1,4 +1,5 @@
 // The part of the store stand-in that tells watchers about changes.
+#include "burdockstream/base/JsonText.h"
 #include "burdockstream/store/EtcdJson.h"
 #include "burdockstream/testing/StoreStandIn.h"
 
@@ -19,14 +20,14 @@
   Json::Value Answer;
   Answer["result"]["header"]["revision"] = std::to_string(Entry.ModRevision);
   Answer["result"]["events"].append(Event);
-  return etcd::toText(Answer);
+  return base::compactJson(Answer);
 }
 
 std::string createdLine(base::Revision Revision) {
   Json::Value Answer;
   Answer["result"]["header"]["revision"] = std::to_string(Revision);
   Answer["result"]["created"] = true;
-  return etcd::toText(Answer);
+  return base::compactJson(Answer);
 }
 
 } // namespace
