Soak with targets that leave and start anew, and with configurations in series

The soak checks that no opening packet reaches a target a second after its draining was acknowledged. A test covers requests that never get an answer.

--- a/packages/flows/test/AgentTest.cpp
+++ b/packages/flows/test/AgentTest.cpp
@@ -248,5 +248,18 @@
   EXPECT_FALSE(W.Missing.empty());
 }
 
+// Guards against a target that seems busy for as long as its flows are
+// remembered, because its clients went away without a word.
+TEST_F(AgentTest, RequestsWithoutAnAnswerDoNotCountForGood) {
+  W.Agents[0].Target.Mute = true;
+  for (uint16_t Port = 1; Port <= 5; ++Port) {
+    W.open(0, World::flow(Port));
+    W.send(0, World::flow(Port));
+  }
+  EXPECT_EQ(W.Agents[0].Core->waiting(), 5U);
+  W.run(WaitingLife + 2 * Tick);
+  EXPECT_EQ(W.Agents[0].Core->waiting(), 0U);
+}
+
 } // namespace
 } // namespace burdockstream::flows::test
--- a/testing/flow_soak/src/FlowSoak.cpp
+++ b/testing/flow_soak/src/FlowSoak.cpp
@@ -22,11 +22,24 @@
 constexpr base::SocketAddress ShopAddress{0xC6120001, 443};
 constexpr base::SocketAddress VaultAddress{0xC6120002, 443};
 constexpr base::SocketAddress StoreAddress{0x7F140001, 18169};
-constexpr const char *Routes =
-    R"({"version":3,"routes":[)"
-    R"({"name":"a","host":"198.18.0.1","prefix":"/443/","route_type":"idempotent","service":"shop"},)"
-    R"({"name":"b","host":"198.18.0.2","prefix":"/443/","route_type":"download","service":"vault"}],)"
-    R"("limits":{"idle_timeout_ms":15000}})";
+// The configuration with so many more routes that see no traffic.
+std::string routes(uint64_t Version) {
+  std::string Text = "{\"version\":" + std::to_string(Version) +
+                     R"(,"limits":{"idle_timeout_ms":15000},"routes":[)";
+  for (uint64_t I = 0; I < Version; ++I)
+    Text +=
+        R"({"name":"idle","host":"198.18.1.)" + std::to_string(I % 250) +
+        R"(","prefix":"/443/","route_type":"idempotent","service":"shop"},)";
+  return Text +
+         R"({"name":"a","host":"198.18.0.1","prefix":"/443/","route_type":"idempotent","service":"shop"},)"
+         R"({"name":"b","host":"198.18.0.2","prefix":"/443/","route_type":"download","service":"vault"}]})";
+}
+
+// A service keeps a target that runs and does not leave.
+constexpr milliseconds TargetDrainTime{1'500};
+constexpr milliseconds TargetAwayTime{500};
+constexpr int ConfigSeries = 4;
+constexpr milliseconds ConfigGap{150};
 
 // An agent that is away for longer may count as lost, and its flows may be
 // reset; pauses stay below, so that no reset of an open flow is allowed.
@@ -40,7 +53,7 @@
   explicit Soak(const SoakOptions &InitOptions)
       : Options(InitOptions), Random(InitOptions.Seed), Clients(nullptr) {
     CHECK(Store.listen(StoreAddress).has_value());
-    Store.put("op/config", Routes);
+    Store.put("op/config", routes(Version));
     for (size_t I = 0; I < AgentCount; ++I) {
       const bool Shop = I < 3;
       Targets.push_back(std::make_unique<SoakTarget>(
@@ -175,10 +188,25 @@
     });
   }
 
+  // Replaces one target by a new run, one at a time.
+  void replaceTarget(milliseconds DrainTime) {
+    if (TargetLeaves)
+      return;
+    TargetLeaves = true;
+    SoakTarget &Leaving = *Targets[below(Targets.size())];
+    if (DrainTime.count() > 0)
+      Leaving.drain();
+    later(DrainTime, [&Leaving] { Leaving.end(); });
+    later(DrainTime + TargetAwayTime, [this, &Leaving] {
+      Leaving.startAnew();
+      TargetLeaves = false;
+    });
+  }
+
   void inject() {
     const size_t Index = below(Processes.size());
     const uint64_t Pause = 100 + below(LongestPauseMs - 100);
-    switch (below(8)) {
+    switch (below(11)) {
     case 0:
       Processes[Index]->signal(SIGKILL);
       return restart(Index);
@@ -202,6 +230,15 @@
       return Store.lapse();
     case 6:
       return Store.compact();
+    case 7:
+      return replaceTarget(milliseconds(0));
+    case 8:
+      return replaceTarget(TargetDrainTime);
+    case 9:
+      for (int I = 0; I < ConfigSeries; ++I)
+        later(I * ConfigGap,
+              [this] { Store.put("op/config", routes(++Version)); });
+      return;
     default:
       ++Rotation; // the fabric moves all flows to other balancers
     }
@@ -215,6 +252,8 @@
   std::vector<std::unique_ptr<e2e::Process>> Processes;
   std::unique_ptr<SoakClients> Clients;
   uint64_t Rotation = 0;
+  uint64_t Version = 3;
+  bool TargetLeaves = false;
 };
 
 } // namespace
--- a/testing/flow_soak/src/SoakParts.cpp
+++ b/testing/flow_soak/src/SoakParts.cpp
@@ -51,25 +51,50 @@
                                  base::SocketAddress) { onPacket(Bytes); });
 }
 
+void SoakTarget::end() {
+  Running = false;
+  Held.clear();
+  Health.close();
+}
+
+void SoakTarget::startAnew() {
+  Running = true;
+  Draining = false;
+  DrainAckedAtMs = 0;
+  Sequence = 0;
+  ++Born;
+  if (Health.listen(place(2, Index, TargetPort)).has_error())
+    Found.push_back("the soak cannot listen for a target that starts anew");
+}
+
 void SoakTarget::beat() {
+  if (!Running)
+    return;
   Json::Value Body;
   Body["service"] = Service;
   Body["address"] = base::toString(place(2, Index, TargetPort));
   Body["zone"] = "z";
   Body["version"] = "v1";
   Body["max_concurrency"] = 2;
-  Body["state"] = "ready";
+  Body["state"] = Draining ? "draining" : "ready";
   Body["warmup_remaining_ms"] = 0;
   Body["sequence"] = Json::UInt64(++Sequence);
-  Body["born"] = Json::Int64(1000 + static_cast<int64_t>(Index));
+  Body["born"] = Json::Int64(1000 + Born);
   const std::string Url = "http://" +
                           base::toString(place(2, Index, HeartbeatPort)) +
                           "/api/Endpoints.Heartbeat/i-" + std::to_string(Index);
   Client.send({Url, base::compactJson(Body), {}, std::chrono::seconds(1)},
-              [](const base::Result<http::HttpResponse> &) {});
+              [this, Says = Draining,
+               Run = Born](const base::Result<http::HttpResponse> &Answer) {
+                if (Says && Run == Born && DrainAckedAtMs == 0 &&
+                    Answer.has_value() && Answer.value().Status == 200)
+                  DrainAckedAtMs = nowMs();
+              });
 }
 
 void SoakTarget::onPacket(std::span<uint8_t> Bytes) {
+  if (!Running)
+    return;
   const auto Packet = Codec.Decode(Bytes, flows::Sender::Client);
   if (!Packet || !isIntact(Bytes) || Packet->Returned) {
     Found.push_back("a target got a packet that its client did not write so");
@@ -80,6 +105,9 @@
     return;
   }
   const base::SocketAddress Back = place(2, Index, OutboundPort);
+  if (Packet->Opens && DrainAckedAtMs != 0 && !holds(Packet->Flow) &&
+      nowMs() - DrainAckedAtMs > DrainBoundMs)
+    Found.push_back("an opening packet reached a target that leaves");
   if (Packet->Opens)
     Held.insert(Packet->Flow);
   if (!holds(Packet->Flow)) {
--- a/testing/flow_soak/src/SoakParts.h
+++ b/testing/flow_soak/src/SoakParts.h
@@ -33,12 +33,24 @@
 // What went wrong, in the words of the promise that was broken.
 using Violations = std::vector<std::string>;
 
+// A draining target gets no opening packet later than this after the agent has
+// acknowledged it. The product's own gate closes at once; the rest is for
+// packets in the sockets of a loaded machine.
+inline constexpr int64_t DrainBoundMs = 1'000;
+
 // A target that holds flows and answers each request with its own bytes.
 class SoakTarget {
 public:
   SoakTarget(size_t Index, std::string InitService,
              base::SocketAddress InitServiceAddress, Violations &InitFound);
   void beat();
+  // Says from now on that it leaves. It keeps its flows and still accepts.
+  void drain() { Draining = true; }
+  // The process ends without a word, and its flows with it.
+  void end();
+  // A new run, which knows nothing of the one before.
+  void startAnew();
+  bool isRunning() const { return Running; }
   bool holds(const flows::FlowKey &Flow) const { return Held.count(Flow) != 0; }
 
 private:
@@ -56,6 +68,10 @@
            bool (*)(const flows::FlowKey &, const flows::FlowKey &)>
       Held;
   uint64_t Sequence = 0;
+  int64_t Born = 0;
+  bool Running = true;
+  bool Draining = false;
+  int64_t DrainAckedAtMs = 0; // 0: not acknowledged
 };
 
 // One client that keeps a flow open and sends a request after the other.
