Hold opening packets while the target has as much work as it can do in time

Cause: after a power loss of all machines the clients of all flows return within half a second to targets that are still slow.

Change: an agent gives its target five requests a slot at most and holds further opening packets for 150 ms, work that may not run twice first, then the newest; then it sends them back to be offered elsewhere. A flow whose first request has not come counts as work for 250 ms in place of 500.

BalancerTest opens many flows in three tests: its clients now send their first request, as real ones do, because a flow without one counts as work.

FlowAgent.cpp is split: openings and searches have files of their own.

--- a/packages/flowd/src/FlowReports.cpp
+++ b/packages/flowd/src/FlowReports.cpp
@@ -133,6 +133,7 @@
   Registry.gauge("heartbeat_age_ms").set(milliseconds(Core.heartbeatAge(Now)));
   Registry.gauge("flows").set(static_cast<int64_t>(Core.flows()));
   Registry.gauge("requests_waiting").set(Core.waiting());
+  Registry.gauge("openings_held").set(static_cast<int64_t>(Core.held()));
   Registry.gauge("slots").set(Core.slots());
   Registry.gauge("balancers").set(static_cast<int64_t>(Core.balancers()));
   Registry.gauge("routes_revision").set(Core.newestRoutes());
--- a/packages/flowd/test/ReportsTest.cpp
+++ b/packages/flowd/test/ReportsTest.cpp
@@ -128,8 +128,10 @@
     Names.insert(Parts[1]);
   }
   const std::vector<std::string> Both = {
-      "flow_decisions_total", "flows",    "store_reads",        "store_writes",
-      "store_failures", "udp_sent", "udp_received_bytes", "udp_kernel_drops",
+      "flow_decisions_total", "flows",
+      "store_reads",          "store_writes",
+      "store_failures",       "udp_sent",
+      "udp_received_bytes",   "udp_kernel_drops",
       "routes_revision"};
   for (const std::string &Name : Both)
     EXPECT_EQ(Names.count(Name), 1U) << Name;
@@ -139,9 +141,10 @@
                                      "targets",       "targets_ready",
                                      "searches",      "searches_dropped",
                                      "packets_parked"}
-          : std::vector<std::string>{"heartbeat_age_ms", "requests_waiting",
-                                     "slots", "balancers",
-                                     "answer_time_seconds_bucket"};
+          : std::vector<std::string>{
+                "heartbeat_age_ms", "requests_waiting",
+                "openings_held",    "slots",
+                "balancers",        "answer_time_seconds_bucket"};
   for (const std::string &Name : Own)
     EXPECT_EQ(Names.count(Name), 1U) << Name;
 }
--- a/packages/flows/include/burdockstream/flows/FlowAgent.h
+++ b/packages/flows/include/burdockstream/flows/FlowAgent.h
@@ -13,6 +13,7 @@
 #include "burdockstream/flows/FlowDecision.h"
 #include "burdockstream/flows/Frame.h"
 #include "burdockstream/flows/Heartbeat.h"
+#include "burdockstream/flows/HeldOpenings.h"
 #include "burdockstream/flows/Packet.h"
 #include "burdockstream/flows/TargetStatus.h"
 
@@ -102,7 +103,7 @@
 
 // The first request of a flow arrives one round trip to the client after its
 // opening packet; later the client has chosen another target, or none.
-inline constexpr base::Duration OpeningLife = std::chrono::milliseconds(500);
+inline constexpr base::Duration OpeningLife = std::chrono::milliseconds(250);
 
 // A request without an answer for this long does not count as work in progress:
 // its client may be gone without a word, and its target would seem busy for as
@@ -159,8 +160,12 @@
 
   TargetState state() const { return State; }
   const TargetIdentity &target() const { return Options.Target; }
-  // Requests without an answer, and flows whose first request is on its way.
-  uint32_t waiting() const { return Waiting + Opening; }
+  // Requests without an answer, flows whose first request is on its way, and
+  // opening packets that are held.
+  uint32_t waiting() const {
+    return Waiting + Opening + static_cast<uint32_t>(Held.size());
+  }
+  size_t held() const { return Held.size(); }
   size_t flows() const { return Flows.size(); }
   uint32_t slots() const { return Slots; }
   base::Revision newestRoutes() const { return NewestRoutes; }
@@ -202,6 +207,13 @@
   FrameKind holding(const FrameHeader &Header, const Packet &Packet);
   void onTry(base::SocketAddress From, const FrameHeader &Header,
              const Packet &Packet, base::TimePoint Now);
+  void deliverOpening(base::SocketAddress From, const FrameHeader &Header,
+                      const Packet &Packet, base::TimePoint Now);
+  void returnOpening(base::SocketAddress From, const FrameHeader &Header,
+                     const Packet &Packet, ReturnReason Reason,
+                     base::TimePoint Now);
+  void admitHeld(base::TimePoint Now);
+  void returnHeld(std::vector<HeldOpening> Overdue, base::TimePoint Now);
   void deliver(base::SocketAddress From, const Packet &Packet, bool IsSearch);
   void noteRequest(FlowRecord &Record, const Packet &Packet,
                    base::TimePoint Now);
@@ -249,6 +261,7 @@
   // Requests by the time when they arrived, oldest first.
   std::deque<std::pair<FlowKey, base::TimePoint>> Requests;
   uint32_t Opening = 0;
+  HeldOpenings Held;
   uint32_t Waiting = 0;
   uint32_t OpenFlows = 0;
   double MeanServiceUs = 0;
--- a/packages/flows/include/burdockstream/flows/FlowDecision.h
+++ b/packages/flows/include/burdockstream/flows/FlowDecision.h
@@ -31,8 +31,9 @@
   NotDelivered,    // an opening packet was sent back, see Reason
   WaitExpired,     // a packet that could not be decided waited in vain
   AskedAgain,      // agents, Target among them, have not answered a search yet
+  HeldBack,        // an opening packet waits at the agent of a busy target
 };
-inline constexpr size_t DecisionKinds = 15;
+inline constexpr size_t DecisionKinds = 16;
 
 // Returns the name used in logs and metrics. Thread safety: any thread.
 std::string_view toString(DecisionKind Kind);
--- a/packages/flows/include/burdockstream/flows/Frame.h
+++ b/packages/flows/include/burdockstream/flows/Frame.h
@@ -38,6 +38,7 @@
   OtherService,  // the agent's target serves another service
   OldRoutes,     // the balancer's routes are older than the agent knows of
   TargetStopped, // the target's process has ended
+  Busy,          // the target has as much work as it can do in time
 };
 
 std::string_view toString(ReturnReason Reason);
--- a/packages/flows/src/AgentBeliefs.cpp
+++ b/packages/flows/src/AgentBeliefs.cpp
@@ -75,6 +75,7 @@
 
 void FlowAgent::beginLeaving(base::TimePoint Now) {
   LeavingItself = true;
+  returnHeld(Held.takeAll(), Now);
   sendStatuses(Now, Audience::All);
 }
 
@@ -84,6 +85,8 @@
   if (!Next || *Next == State)
     return;
   const TargetState Before = std::exchange(State, *Next);
+  if (State != TargetState::Ready)
+    returnHeld(Held.takeAll(), Now);
   if (Hooks.OnState)
     Hooks.OnState(Before, State, Cause, Now - LastBeat);
   sendStatuses(Now, Audience::All);
@@ -102,6 +105,8 @@
   });
   expireOpenings(Now);
   expireWaiting(Now);
+  admitHeld(Now);
+  returnHeld(Held.takeOverdue(Now), Now);
   settleTrials(Now);
   const bool Changed = waiting() != SentWaiting || OpenFlows != SentFlows;
   if (Now >= NextStatus)
--- a/packages/flows/src/FlowAgent.cpp
+++ b/packages/flows/src/FlowAgent.cpp
@@ -3,7 +3,6 @@
 #include "TargetStates.h"
 
 #include <algorithm>
-#include <map>
 #include <utility>
 
 namespace burdockstream::flows {
@@ -48,37 +47,6 @@
   onForward(From, Header, Packet, Now);
 }
 
-ReturnReason FlowAgent::gate(const FrameHeader &Header,
-                             base::TimePoint Now) const {
-  if (Header.Service != base::serviceIdOf(Options.Target.Service))
-    return ReturnReason::OtherService;
-  if (State == TargetState::Stopped)
-    return ReturnReason::TargetStopped;
-  // The age is checked here too: after a freeze packets come before ticks.
-  if (LeavingItself || State != TargetState::Ready ||
-      Now - LastBeat > Options.HeartbeatOverdue)
-    return ReturnReason::NotReady;
-  if (Header.Routes < NewestRoutes && Now - NewestRoutesSince > OldRoutesGrace)
-    return ReturnReason::OldRoutes;
-  return ReturnReason::None;
-}
-
-void FlowAgent::onOpening(base::SocketAddress From, const FrameHeader &Header,
-                          const Packet &Packet, base::TimePoint Now) {
-  const ReturnReason Reason = gate(Header, Now);
-  if (Reason != ReturnReason::None) {
-    decide(DecisionKind::NotDelivered, Reason, Packet.Flow, From, Header, Now);
-    return answer(From, FrameKind::Returned, Reason, Packet.Bytes);
-  }
-  FlowRecord &Record = Flows.insert(Packet.Flow);
-  Record.Class = static_cast<WorkClass>(
-      std::min<size_t>(Header.WorkClass, WorkClasses - 1));
-  NotHeld.erase(Packet.Flow);
-  noteOpening(Record, Packet.Flow, Now);
-  deliver(From, Packet, false);
-  decide(DecisionKind::Delivered, Reason, Packet.Flow, From, Header, Now);
-}
-
 void FlowAgent::onForward(base::SocketAddress From, const FrameHeader &Header,
                           const Packet &Packet, base::TimePoint Now) {
   FlowRecord *Record = Flows.use(Packet.Flow);
@@ -98,65 +66,6 @@
     forget(Packet.Flow);
 }
 
-std::span<const uint8_t> FlowAgent::headerOf(const Packet &Packet) const {
-  return Packet.Bytes.first(
-      std::min(Packet.Bytes.size(), Options.PacketHeaderBytes));
-}
-
-// Whether the target holds the flow, as the kind of frame that says so.
-FrameKind FlowAgent::holding(const FrameHeader &Header, const Packet &Packet) {
-  const bool Foreign =
-      Header.Service != base::serviceIdOf(Options.Target.Service);
-  if (State != TargetState::Stopped && Flows.use(Packet.Flow))
-    return FrameKind::Held;
-  const bool Knows = State == TargetState::Stopped || KnowsAllFlows ||
-                     Foreign || NotHeld.use(Packet.Flow);
-  return Knows ? FrameKind::NotHeld : FrameKind::Unsure;
-}
-
-void FlowAgent::onSearches(base::SocketAddress From, const FrameHeader &Header,
-                           std::span<const Packet> Packets) {
-  std::map<FrameKind, std::vector<uint8_t>> Answers;
-  for (const Packet &Each : Packets) {
-    std::vector<uint8_t> &Body = Answers[holding(Header, Each)];
-    const auto Named = headerOf(Each);
-    Body.insert(Body.end(), Named.begin(), Named.end());
-  }
-  for (const auto &[Kind, Body] : Answers)
-    answer(From, Kind, ReturnReason::None, Body);
-}
-
-// Only the target knows: it returns the packet if it does not hold the flow.
-void FlowAgent::onTry(base::SocketAddress From, const FrameHeader &Header,
-                      const Packet &Packet, base::TimePoint Now) {
-  if (Flows.use(Packet.Flow) || State == TargetState::Stopped ||
-      NotHeld.use(Packet.Flow) ||
-      Header.Service != base::serviceIdOf(Options.Target.Service))
-    return answer(From, holding(Header, Packet), ReturnReason::None,
-                  headerOf(Packet));
-  const auto Named = headerOf(Packet);
-  Trials.insert(Packet.Flow) = {balancerIndex(From),
-                                {Named.begin(), Named.end()}};
-  TrialTimes.emplace_back(Packet.Flow, Now);
-  deliver(From, Packet, true);
-}
-
-// Tells the balancer that the target holds the flow, if it still asks.
-void FlowAgent::settleTrial(const FlowKey &Flow) {
-  const Trial *Done = Trials.use(Flow);
-  if (!Done)
-    return; // the target returned the packet, or has answered it
-  answer(Senders[Done->Balancer], FrameKind::Held, ReturnReason::None,
-         Done->Header);
-  Trials.erase(Flow);
-}
-
-void FlowAgent::settleTrials(base::TimePoint Now) {
-  for (; !TrialTimes.empty() && Now - TrialTimes.front().second > TrialTime;
-       TrialTimes.pop_front())
-    settleTrial(TrialTimes.front().first);
-}
-
 void FlowAgent::deliver(base::SocketAddress From, const Packet &Packet,
                         bool IsSearch) {
   Hooks.Stamp(Packet.Bytes, makeTag(balancerIndex(From), IsSearch));
@@ -193,27 +102,6 @@
   }
 }
 
-// Load pattern: after an outage hundreds of clients open flows within one
-// status interval. Their requests count from the opening packet on; otherwise
-// each status would invite more flows before the first requests arrive.
-void FlowAgent::noteOpening(FlowRecord &Record, const FlowKey &Flow,
-                            base::TimePoint Now) {
-  if (Record.Opening || Record.RequestEnd != 0)
-    return;
-  Record.Opening = true;
-  ++Opening;
-  Openings.emplace_back(Flow, Now);
-}
-
-void FlowAgent::expireOpenings(base::TimePoint Now) {
-  while (!Openings.empty() && Now - Openings.front().second > OpeningLife) {
-    FlowRecord *Record = Flows.use(Openings.front().first);
-    if (Record && std::exchange(Record->Opening, false))
-      --Opening;
-    Openings.pop_front();
-  }
-}
-
 void FlowAgent::noteAnswer(FlowRecord &Record, base::TimePoint Now) {
   if (!Record.Waiting)
     return;
@@ -245,6 +133,7 @@
   Hooks.SendToClient(Packet.Flow, Packet.Bytes);
   if (Packet.Aborts)
     forget(Packet.Flow);
+  admitHeld(Now);
 }
 
 void FlowAgent::onReturned(const Packet &Packet, base::TimePoint Now) {
--- a/packages/flows/src/FlowDecision.cpp
+++ b/packages/flows/src/FlowDecision.cpp
@@ -22,6 +22,7 @@
     {DecisionKind::NotDelivered, "not_delivered"},
     {DecisionKind::WaitExpired, "wait_expired"},
     {DecisionKind::AskedAgain, "asked_again"},
+    {DecisionKind::HeldBack, "held_back"},
 }});
 
 } // namespace
--- a/packages/flows/src/Frame.cpp
+++ b/packages/flows/src/Frame.cpp
@@ -10,7 +10,7 @@
 
 namespace {
 
-constexpr base::NameTable<ReturnReason, 7> ReasonNames({{
+constexpr base::NameTable<ReturnReason, 8> ReasonNames({{
     {ReturnReason::None, "none"},
     {ReturnReason::Refused, "refused_by_target"},
     {ReturnReason::NotHeld, "not_held"},
@@ -18,6 +18,7 @@
     {ReturnReason::OtherService, "other_service"},
     {ReturnReason::OldRoutes, "old_routes"},
     {ReturnReason::TargetStopped, "target_stopped"},
+    {ReturnReason::Busy, "target_busy"},
 }});
 
 constexpr base::NameTable<TargetState, 6> StateNames({{
@@ -73,7 +74,7 @@
   if (Datagram.size() < FrameHeaderBytes ||
       Datagram[0] < static_cast<uint8_t>(FrameKind::Forward) ||
       Datagram[0] > static_cast<uint8_t>(FrameKind::Status) ||
-      Datagram[1] > static_cast<uint8_t>(ReturnReason::TargetStopped))
+      Datagram[1] > static_cast<uint8_t>(ReturnReason::Busy))
     return std::nullopt;
   Frame Result;
   Result.Header.Kind = static_cast<FrameKind>(Datagram[0]);
--- a/packages/flows/test/BalancerTest.cpp
+++ b/packages/flows/test/BalancerTest.cpp
@@ -57,7 +57,7 @@
 // Guards against a packet of one service reaching a target of another.
 TEST_F(BalancerTest, PlacesFlowsAtTargetsOfTheirService) {
   for (uint16_t Port = 1; Port <= 50; ++Port)
-    W.open(0, World::flow(Port, VaultAddress));
+    W.visit(0, World::flow(Port, VaultAddress));
   EXPECT_EQ(W.Agents[3].Target.Opened.size(), 50U);
 }
 
@@ -170,7 +170,7 @@
 TEST_F(BalancerTest, OffersARefusedFlowToTheOtherTargets) {
   W.Agents[0].Target.Full = W.Agents[1].Target.Full = true;
   for (uint16_t Port = 1; Port <= 20; ++Port)
-    W.open(0, World::flow(Port));
+    W.visit(0, World::flow(Port));
   EXPECT_EQ(W.Agents[2].Target.Opened.size(), 20U);
   EXPECT_TRUE(W.Resets.empty());
 }
@@ -238,7 +238,7 @@
   W.run(seconds(1));
   beatAll();
   for (uint16_t Port = 1; Port <= 20; ++Port)
-    W.open(0, World::flow(Port));
+    W.visit(0, World::flow(Port));
   EXPECT_EQ(W.Agents[2].Target.Opened.size(), 20U);
 }
 
--- a/packages/flows/test/FlowFixture.cpp
+++ b/packages/flows/test/FlowFixture.cpp
@@ -146,14 +146,14 @@
   Balancers[Index].Running = true;
 }
 
-void World::setRoutes(
-    size_t Balancer, base::Revision Revision,
-    const std::map<base::SocketAddress, std::string> &Routes) {
+void World::setRoutes(size_t Balancer, base::Revision Revision,
+                      const std::map<base::SocketAddress, std::string> &Routes,
+                      WorkClass Class) {
   auto Table = std::make_shared<RouteTable>();
   Table->Revision = Revision;
   for (const auto &[Address, Service] : Routes)
     Table->Routes[Address] = {
-        "route", {{base::serviceIdOf(Service), 1}}, {}, WorkClass::Idempotent};
+        "route", {{base::serviceIdOf(Service), 1}}, {}, Class};
   Balancers[Balancer].Core->setRoutes(Table, Now);
 }
 
--- a/packages/flows/test/FlowFixture.h
+++ b/packages/flows/test/FlowFixture.h
@@ -82,7 +82,8 @@
   void restartBalancer(size_t Index);
 
   void setRoutes(size_t Balancer, base::Revision Revision,
-                 const std::map<base::SocketAddress, std::string> &Routes);
+                 const std::map<base::SocketAddress, std::string> &Routes,
+                 WorkClass Class = WorkClass::Idempotent);
   void listAll();
   void beat(size_t Agent, bool Draining = false);
 
@@ -92,6 +93,11 @@
   // A client's packets. Each returns after all frames have arrived.
   void open(size_t Balancer, const FlowKey &Flow, uint32_t Copy = 0);
   void send(size_t Balancer, const FlowKey &Flow, uint16_t DataBytes = 100);
+  // Opens a flow and sends its first request, as clients do.
+  void visit(size_t Balancer, const FlowKey &Flow) {
+    open(Balancer, Flow);
+    send(Balancer, Flow);
+  }
 
   // Index of the agent whose target holds Flow, or -1.
   int holder(const FlowKey &Flow) const;
