--- a/packages/flows/test/ParkingTest.cpp
+++ b/packages/flows/test/ParkingTest.cpp
@@ -194,15 +194,24 @@
 }
 
 // Load pattern: all flows are unknown at once. Guards against searches over the
-// limit that are dropped, and so wait for the client.
-TEST_F(ParkingTest, SearchesOverTheLimitFollowByThemselves) {
-  const auto Flows = static_cast<uint16_t>(SearchFrameBurst / 3 + 500);
+// limit that are dropped, and so wait for the client, and against a frame for
+// each flow and agent, which would fill the links of small VMs.
+TEST_F(ParkingTest, SearchesOverTheLimitFollowInSharedFrames) {
+  constexpr size_t Over = 500;
+  const auto Flows = static_cast<uint16_t>(SearchFrameBurst / 3 + Over);
+  size_t Frames = 0;
+  W.Loses = [&](base::SocketAddress, FrameKind Kind) {
+    Frames += Kind == FrameKind::Search ? 1 : 0;
+    return false;
+  };
   for (uint16_t Port = 1; Port <= Flows; ++Port)
     W.send(0, World::flow(Port), 0);
   EXPECT_LT(W.Resets.size(), Flows);
   W.run(milliseconds(500));
   EXPECT_EQ(W.Resets.size(), Flows);
   EXPECT_EQ(balancer(0).droppedSearches(), 0U);
+  EXPECT_LE(static_cast<double>(Frames),
+            SearchFrameBurst + 3.0 * (Over / HeadersPerFrame + 2));
 }
 
 // Guards against a balancer that runs out of memory.
