--- a/packages/flows/include/burdockstream/flows/HeldOpenings.h
+++ b/packages/flows/include/burdockstream/flows/HeldOpenings.h
@@ -26,11 +26,13 @@
 // 0.777 without a limit, 0.785 with four, 0.799 with five.
 inline constexpr uint32_t RequestsPerSlot = 5;
 
-// Then the packet goes back to its balancer, which offers it elsewhere. It is
-// less than the 200 ms after which a client sends its next copy.
+// A packet that was held for this long goes back to its balancer, which offers
+// it elsewhere. It is less than the 200 ms after which a client sends its next
+// copy.
 inline constexpr base::Duration HoldTime = std::chrono::milliseconds(150);
 
-// Held at most: the oldest goes back beyond this.
+// Held at most; beyond this the oldest goes back. A target with ten places that
+// serves 500 requests a second admits 75 in HoldTime.
 inline constexpr size_t MaxHeld = 256;
 
 // Whether a target with Slots takes a flow more while InProgress requests have
