--- a/packages/http/test/HttpTest.cpp
+++ b/packages/http/test/HttpTest.cpp
@@ -95,5 +95,27 @@
   EXPECT_EQ(Values, (std::vector<int>{1, 2}));
 }
 
+// Guards against a server that is damaged by closing while clients are
+// connected: it must listen again afterwards.
+TEST(HttpTest, ListensAgainAfterItClosedOnItsClients) {
+  HttpServer Server(
+      [](const ServerRequest &, const std::shared_ptr<Responder> &Out) {
+        Out->send({200, "application/json", "{}"});
+      });
+  HttpClient Client;
+  for (int Round = 0; Round < 40; ++Round) {
+    ASSERT_TRUE(Server.listen(ServerAddress).has_value());
+    int Outstanding = 4;
+    for (int I = 0; I < 4; ++I)
+      Client.send({ServerUrl, "{}", {}, std::chrono::milliseconds(300)},
+                  [&](const base::Result<HttpResponse> &) { --Outstanding; });
+    // Closes at another moment of the exchange in each round.
+    for (int I = 0; I < Round && Outstanding > 0; ++I)
+      g_main_context_iteration(nullptr, FALSE);
+    Server.close();
+    runLoopUntil([&] { return Outstanding == 0; });
+  }
+}
+
 } // namespace
 } // namespace burdockstream::http
--- a/testing/flow_soak/src/main.cpp
+++ b/testing/flow_soak/src/main.cpp
@@ -22,7 +22,8 @@
     Clean = Clean && Report.Found.empty() && Report.Unserved == 0;
     std::cout << "seed " << Seed << ": " << Report.Answers << " answers, "
               << Report.Faults << " faults, " << Report.Found.size()
-              << " violations, " << Report.Unserved << " flows unserved\n";
+              << " violations, " << Report.Unserved << " flows unserved"
+              << std::endl; // a crash must not lose the lines before it
     for (const std::string &Each : Report.Found)
       std::cout << "  " << Each << "\n";
   }
