Wait for agents that fall silent during a search

A second unsure answer of an agent no longer costs it all packets again.

The soak's targets keep their health servers, which libsoup damages when they are closed and opened again.

--- a/packages/flows/include/burdockstream/flows/FlowBalancer.h
+++ b/packages/flows/include/burdockstream/flows/FlowBalancer.h
@@ -181,7 +181,6 @@
   void askAgain(base::TimePoint Now);
   void sendSearches();
   void askSilent(Search &Running, base::TimePoint Now);
-  void dropLost(Search &Running, base::TimePoint Now);
   void expireSearches(base::TimePoint Now);
   void park(const Packet &Packet, WaitFor Reason);
   void replayParked(base::TimePoint Now);
--- a/packages/flows/src/FlowSearch.cpp
+++ b/packages/flows/src/FlowSearch.cpp
@@ -99,24 +99,11 @@
   Batch.flush(Routes ? Routes->Revision : 0, Hooks.SendFrame);
 }
 
-// Stops waiting for agents that are gone or lost by now.
-void FlowBalancer::dropLost(Search &Running, base::TimePoint Now) {
-  std::erase_if(Running.Open, [&](TargetIndex Index) {
-    const Target *Asked = Targets.at(Index);
-    return !Asked || isLost(*Asked, Now);
-  });
-}
-
 void FlowBalancer::askSilent(Search &Running, base::TimePoint Now) {
   if (!admitSearch(Running.Open.size(), Now))
     return;
   const std::span<const uint8_t> Newest = Running.Kept.back();
   for (const TargetIndex Index : Running.Open) {
-    if (std::find(Running.Unsure.begin(), Running.Unsure.end(), Index) !=
-        Running.Unsure.end()) {
-      sendKept(Running, Index, FrameKind::Try);
-      continue;
-    }
     const Target &Silent = *Targets.at(Index);
     Batch.add(Silent.Agent, Silent.Service,
               Newest.first(std::min(Self.PacketHeaderBytes, Newest.size())));
@@ -130,7 +117,10 @@
       continue;
     Running.AskInterval *= 2;
     Running.NextAsk = Now + Running.AskInterval;
-    dropLost(Running, Now);
+    // An agent that has fallen silent since is waited for all the same: its
+    // silence may be the balancer's own.
+    std::erase_if(Running.Open,
+                  [&](TargetIndex Index) { return !Targets.at(Index); });
     if (Running.Open.empty()) {
       Settled.push_back(Flow);
       continue;
@@ -231,8 +221,9 @@
   if (Found == Searches.end())
     return;
   auto &Unsure = Found->second.Unsure;
-  if (std::find(Unsure.begin(), Unsure.end(), Agent) == Unsure.end())
-    Unsure.push_back(Agent);
+  if (std::find(Unsure.begin(), Unsure.end(), Agent) != Unsure.end())
+    return; // it has the packets; a second answer must not cost them again
+  Unsure.push_back(Agent);
   sendKept(Found->second, Agent, FrameKind::Try);
 }
 
--- a/packages/flows/test/ParkingTest.cpp
+++ b/packages/flows/test/ParkingTest.cpp
@@ -214,6 +214,43 @@
   EXPECT_LE(Frames, static_cast<size_t>(SearchFrameBurst) + Shared);
 }
 
+// Guards against a multiple of all packets when agents that have just started
+// answer late: each was asked again meanwhile.
+TEST_F(ParkingTest, ASecondUnsureAnswerCostsNoPacket) {
+  Packet Value;
+  Value.Flow = World::flow(40001);
+  for (AgentPlace &Place : W.Agents)
+    Place.Running = false;
+  balancer(0).onClientPacket(W.Book.write(Value), W.Now);
+  W.run(Tick);
+  size_t Tries = 0;
+  W.Loses = [&](base::SocketAddress, FrameKind Kind) {
+    Tries += Kind == FrameKind::Try ? 1 : 0;
+    return true;
+  };
+  FrameHeader Header;
+  Header.Kind = FrameKind::Unsure;
+  for (int Copy = 0; Copy < 3; ++Copy)
+    balancer(0).onAgentAnswer(W.Agents[0].Address, Header, W.Book.write(Value),
+                              W.Now);
+  W.run(ReaskTime + 2 * Tick);
+  EXPECT_EQ(Tries, 1U);
+}
+
+// Guards against the reset of a flow whose holder falls silent during the
+// search, as all agents seem to when the balancer is overloaded.
+TEST_F(ParkingTest, ASearchWaitsForAnAgentThatFallsSilent) {
+  const FlowKey Flow = World::flow(40001);
+  W.open(0, Flow);
+  const auto Holder = static_cast<size_t>(W.holder(Flow));
+  W.Agents[Holder].Running = false;
+  W.run(LostStatus - milliseconds(400));
+  beatAll();
+  W.send(1, Flow);
+  W.run(SearchLife - milliseconds(200));
+  EXPECT_TRUE(W.Resets.empty());
+}
+
 // Guards against a balancer that runs out of memory.
 TEST(ParkedPacketsTest, HoldsOneForEachFlowAndNoMoreThanItsLimit) {
   ParkedPackets Parked;
--- a/testing/flow_soak/src/SoakParts.cpp
+++ b/testing/flow_soak/src/SoakParts.cpp
@@ -41,9 +41,12 @@
       ServiceAddress(InitServiceAddress), Found(InitFound),
       Codec(platform::packetCodec()),
       Socket(openSocket(place(2, Index, TargetPort))),
-      Health([](const http::ServerRequest &,
-                const std::shared_ptr<http::Responder> &Out) {
-        Out->send({200, "text/plain", "ok"});
+      Health([this](const http::ServerRequest &,
+                    const std::shared_ptr<http::Responder> &Out) {
+        if (Running)
+          Out->send({200, "text/plain", "ok"});
+        else
+          Out->abort(); // libsoup does not survive closing and listening again
       }),
       Held(isBefore) {
   CHECK(Health.listen(place(2, Index, TargetPort)).has_value());
@@ -54,7 +57,6 @@
 void SoakTarget::end() {
   Running = false;
   Held.clear();
-  Health.close();
 }
 
 void SoakTarget::startAnew() {
@@ -63,8 +65,6 @@
   DrainAckedAtMs = 0;
   Sequence = 0;
   ++Born;
-  if (Health.listen(place(2, Index, TargetPort)).has_error())
-    Found.push_back("the soak cannot listen for a target that starts anew");
 }
 
 void SoakTarget::beat() {
