Ask agents that count as lost before a flow is reset

Such agents are asked too now, the known holder among them, and no flow is reset before they have had 300 ms to answer.

--- a/packages/flows/include/burdockstream/flows/FlowBalancer.h
+++ b/packages/flows/include/burdockstream/flows/FlowBalancer.h
@@ -73,6 +73,11 @@
 // so on. Between failure domains an answer takes about 20 ms.
 inline constexpr base::Duration ReaskTime = std::chrono::milliseconds(60);
 
+// An agent that counts as lost may only be unheard: after a restart it does not
+// know this balancer until the next hello. It is asked too, and no flow is
+// reset before it has had this long to answer, several times a round trip.
+inline constexpr base::Duration LostAnswerTime = std::chrono::milliseconds(300);
+
 // Packets of a flow that are kept while its holder is looked for; the client
 // has at most 16 in flight, and sends the others again.
 inline constexpr size_t MaxKept = 4;
@@ -156,7 +161,8 @@
     base::TimePoint Started;
     std::vector<TargetIndex> Open;
     std::vector<TargetIndex> Unsure; // of Open: those that try the packets
-    uint32_t Acknowledged = 0;       // newest of the client
+    bool AskedLost = false;    // some agent counts as lost; see LostAnswerTime
+    uint32_t Acknowledged = 0; // newest of the client
     // What the client sent meanwhile, for the agent that holds the flow.
     std::vector<std::vector<uint8_t>> Kept;
     Packet Newest; // of those in Kept, without its bytes
--- a/packages/flows/src/FlowSearch.cpp
+++ b/packages/flows/src/FlowSearch.cpp
@@ -79,14 +79,16 @@
       std::min(Self.PacketHeaderBytes, Packet.Bytes.size());
   for (const base::ServiceId Service : servicesOf(Route))
     for (const TargetIndex Index : Targets.ofService(Service)) {
-      if (Index == Excluded)
-        continue;
       const Target &Asked = *Targets.at(Index);
+      if (Index == Excluded && !isLost(Asked, Now))
+        continue;
       // The flows of a process that has ended are gone with it.
       if (Asked.Heard && Asked.Status.State == TargetState::Stopped)
         continue;
       Batch.add(Asked.Agent, Service, Packet.Bytes.first(HeaderBytes));
-      if (!isLost(Asked, Now))
+      if (isLost(Asked, Now))
+        Running.AskedLost = true;
+      else
         Running.Open.push_back(Index);
     }
   if (!Batching)
@@ -122,7 +124,8 @@
     std::erase_if(Running.Open,
                   [&](TargetIndex Index) { return !Targets.at(Index); });
     if (Running.Open.empty()) {
-      Settled.push_back(Flow);
+      if (!Running.AskedLost || Now - Running.Started >= LostAnswerTime)
+        Settled.push_back(Flow);
       continue;
     }
     askSilent(Running, Now);
@@ -249,8 +252,10 @@
     return;
   std::erase(Found->second.Open, Agent);
   std::erase(Found->second.Unsure, Agent);
-  if (!Found->second.Open.empty())
-    return;
+  const Search &Running = Found->second;
+  if (!Running.Open.empty() ||
+      (Running.AskedLost && Now - Running.Started < LostAnswerTime))
+    return; // tick() ends the search
   auto Done = Searches.extract(Found);
   finishSearch(Packet.Flow, Done.mapped(), Now);
 }
--- a/packages/flows/test/ParkingTest.cpp
+++ b/packages/flows/test/ParkingTest.cpp
@@ -251,6 +251,29 @@
   EXPECT_TRUE(W.Resets.empty());
 }
 
+// Guards against the reset of an open flow whose agent was only unheard for a
+// while: its answer comes right after those of the others.
+TEST_F(ParkingTest, AnAgentThatCountsAsLostIsAskedBeforeAReset) {
+  const FlowKey Flow = World::flow(40001);
+  W.open(0, Flow);
+  const auto Holder = static_cast<size_t>(W.holder(Flow));
+  const base::SocketAddress Unheard = W.Agents[Holder].Address;
+  W.Agents[Holder].Running = false;
+  for (int I = 0; I < 4; ++I)
+    runAndBeat(milliseconds(500));
+  W.send(0, Flow); // the others answer at once
+  EXPECT_TRUE(W.Resets.empty());
+  W.run(milliseconds(100));
+  W.Agents[Holder].Running = true;
+  FrameHeader Header;
+  Header.Kind = FrameKind::Held;
+  Packet Value;
+  Value.Flow = Flow;
+  balancer(0).onAgentAnswer(Unheard, Header, W.Book.write(Value), W.Now);
+  W.run(seconds(1));
+  EXPECT_TRUE(W.Resets.empty());
+}
+
 // Guards against a balancer that runs out of memory.
 TEST(ParkedPacketsTest, HoldsOneForEachFlowAndNoMoreThanItsLimit) {
   ParkedPackets Parked;
