--- a/bench/datapath/DatapathBench.cpp
+++ b/bench/datapath/DatapathBench.cpp
@@ -6,6 +6,7 @@
 #include "FlowPath.h"
 #include "MeasuredPath.h"
 
+#include "burdockstream/bench/LoopbackSocket.h"
 #include "burdockstream/bench/RelayBench.h"
 #include "burdockstream/network/ProxyHeader.h"
 
@@ -99,11 +100,11 @@
 };
 
 PathFigures measureCallerPath(size_t Services) {
-  const auto Sink = openSocket();
+  const auto Sink = bench::openSocket();
   network::UdpOptions Options; // as daemon::DataSocket
   Options.DatagramBytes = daemon::DataBufferBytes;
-  const auto Socket = openSocket(Options);
-  const auto Source = openSocket();
+  const auto Socket = bench::openSocket(Options);
+  const auto Source = bench::openSocket();
   messages::MessageCodec Codec(base::DaemonId{1}, {{1, {1, 2, 3}}, {}});
   routing::Router Router(7);
   addServices(Router, Services, Sink->localAddress());
@@ -125,7 +126,7 @@
       Socket->receiveBatch(Handle);
       Socket->flush();
     });
-    Figures.Relay.Delivered += drain(*Sink);
+    Figures.Relay.Delivered += bench::drain(*Sink);
   }
   return Figures;
 }
--- a/bench/datapath/FlowPath.cpp
+++ b/bench/datapath/FlowPath.cpp
@@ -1,11 +1,12 @@
 #include "FlowPath.h"
 
 #include "AllocationCount.h"
+#include "BootClock.h"
 #include "DecisionLog.h"
 #include "FrameSocket.h"
-#include "LoopTimer.h"
 #include "PlatformPackets.h"
 
+#include "burdockstream/bench/LoopbackSocket.h"
 #include "burdockstream/flows/FlowAgent.h"
 #include "burdockstream/flows/FlowBalancer.h"
 #include "burdockstream/testing/PlatformPacketWriter.h"
@@ -122,9 +123,9 @@
 public:
   explicit BalancerPath(size_t InitServices)
       : Services(InitServices), Codec(platform::packetCodec()),
-        Sink(openSocket({}, {0, 0})),
-        Ingress(openSocket(flowd::frameSocketOptions())),
-        Frames(openSocket(flowd::frameSocketOptions())),
+        Sink(bench::openSocket({}, {0, 0})),
+        Ingress(bench::openSocket(flowd::frameSocketOptions())),
+        Frames(bench::openSocket(flowd::frameSocketOptions())),
         Core({"a", {}, Codec.HeaderBytes}, hooks(), base::RandomSource(7)) {
     const base::TimePoint Now = Clock.read();
     Core.setStoreFresh(true);
@@ -166,10 +167,10 @@
     }
     Core.tick(Now);
     Frames->flush();
-    drain(*Sink); // the hellos
+    bench::drain(*Sink); // the hellos
   }
 
-  uint64_t delivered() { return drain(*Sink); }
+  uint64_t delivered() { return bench::drain(*Sink); }
 
 private:
   flows::BalancerHooks hooks() {
@@ -221,9 +222,10 @@
 class AgentPath {
 public:
   AgentPath()
-      : Codec(platform::packetCodec()), Sink(openSocket()),
-        Target(openSocket()), Data(openSocket(flowd::frameSocketOptions())),
-        Outbound(openSocket(flowd::frameSocketOptions())),
+      : Codec(platform::packetCodec()), Sink(bench::openSocket()),
+        Target(bench::openSocket()),
+        Data(bench::openSocket(flowd::frameSocketOptions())),
+        Outbound(bench::openSocket(flowd::frameSocketOptions())),
         Core(options(Codec), hooks()) {
     beat();
   }
@@ -270,7 +272,7 @@
     return Count;
   }
 
-  uint64_t delivered() { return drain(*Sink); }
+  uint64_t delivered() { return bench::drain(*Sink); }
 
   void keepUp() {
     beat();
@@ -336,7 +338,7 @@
 PathFigures measureFlowBalancer(const FlowLoad &Load, size_t Services) {
   BalancerPath Path(Services);
   Clients From(Load, Load.Flows, Services);
-  const auto Source = openSocket();
+  const auto Source = bench::openSocket();
   PathFigures Figures;
   const auto Run = [&](uint64_t Datagrams) {
     for (uint64_t Sent = 0; Sent < Datagrams; Sent += network::MaxBatch) {
@@ -362,7 +364,7 @@
 PathFigures measureFlowAgent(const FlowLoad &Load) {
   AgentPath Path;
   Clients From(Load, FlowsPerAgent, 1);
-  const auto Source = openSocket(flowd::frameSocketOptions());
+  const auto Source = bench::openSocket(flowd::frameSocketOptions());
   flows::FrameHeader Header;
   Header.Service = base::serviceIdOf(serviceName(0));
   PathFigures Figures;
--- a/bench/relay/src/RelayBench.cpp
+++ b/bench/relay/src/RelayBench.cpp
@@ -1,5 +1,6 @@
 #include "burdockstream/bench/RelayBench.h"
 
+#include "burdockstream/bench/LoopbackSocket.h"
 #include "burdockstream/bench/ThreadTime.h"
 #include "burdockstream/messages/MessageCodec.h"
 #include "burdockstream/network/ProxyHeader.h"
@@ -14,14 +15,6 @@
 
 namespace {
 
-constexpr base::SocketAddress AnyLoopbackPort{0x7f000001, 0};
-
-std::unique_ptr<network::UdpSocket> openSocket() {
-  auto Opened = network::UdpSocket::open(AnyLoopbackPort);
-  CHECK(Opened.has_value()) << Opened.error().Message;
-  return std::move(Opened.value());
-}
-
 sockaddr_in toKernel(base::SocketAddress Address) {
   sockaddr_in Result{};
   Result.sin_family = AF_INET;
@@ -78,15 +71,6 @@
   std::array<mmsghdr, network::MaxBatch> Headers{};
 };
 
-uint64_t drain(network::UdpSocket &Sink) {
-  uint64_t Count = 0;
-  const network::UdpSocket::Handler Ignore = [](std::span<uint8_t>,
-                                                base::SocketAddress) {};
-  while (const size_t Batch = Sink.receiveBatch(Ignore))
-    Count += Batch;
-  return Count;
-}
-
 } // namespace
 
 RelayFigures measurePath(const RelayPath &Path, network::UdpSocket &Sink,
--- a/packages/ctl/src/AnswerTable.cpp
+++ b/packages/ctl/src/AnswerTable.cpp
@@ -35,4 +35,8 @@
   return Table;
 }
 
+Output success(const Table &Table, const Command &Command) {
+  return {ExitCode::Ok, formatTable(Table, Command.Format), ""};
+}
+
 } // namespace burdockstream::ctl::detail
--- a/packages/ctl/src/AnswerTable.h
+++ b/packages/ctl/src/AnswerTable.h
@@ -23,6 +23,10 @@
 // callForList(). Thread safety: any thread.
 Table rowsOf(const std::vector<std::string> &Columns, const Json::Value &List);
 
+// Returns the output of a command that printed Table. Thread safety: any
+// thread.
+Output success(const Table &Table, const Command &Command);
+
 } // namespace burdockstream::ctl::detail
 
 #endif
--- a/packages/ctl/src/FlowCommands.cpp
+++ b/packages/ctl/src/FlowCommands.cpp
@@ -14,10 +14,6 @@
 constexpr const char *DaemonPath = "/v1/daemon";
 constexpr const char *FlowPath = "/v1/flow";
 
-Output success(const Table &Table, const Command &Command) {
-  return {ExitCode::Ok, formatTable(Table, Command.Format), ""};
-}
-
 // Returns the report of the first server that answers as a balancer does.
 base::Result<Json::Value> balancerReport(const Command &Command,
                                          const Hooks &Hooks) {
@@ -80,6 +76,30 @@
   return {Known.begin(), Known.end()};
 }
 
+struct DaemonReports {
+  Json::Value Entries = Json::arrayValue; // with the address as "control"
+  std::string Warnings;                   // names the daemons that are silent
+};
+
+// Fetches Path from all daemons.
+DaemonReports askAll(const Command &Command, const Hooks &Hooks,
+                     const std::string &Path) {
+  DaemonReports Result;
+  const auto Daemons = allDaemons(Command, Hooks);
+  const auto Answers = Hooks.FetchEach(Daemons, Path);
+  for (size_t I = 0; I < Answers.size(); ++I) {
+    const std::string Control = base::toString(Daemons[I]);
+    if (Answers[I].has_error() || !Answers[I].value().isObject()) {
+      Result.Warnings += "warning: " + Control + " has not answered\n";
+      continue;
+    }
+    Json::Value Entry = Answers[I].value();
+    Entry["control"] = Control;
+    Result.Entries.append(Entry);
+  }
+  return Result;
+}
+
 } // namespace
 
 Output showFlowRoutes(const Command &Command, const Hooks &Hooks) {
@@ -94,59 +114,38 @@
 }
 
 Output showFlowStatus(const Command &Command, const Hooks &Hooks) {
-  Output Result;
-  Json::Value Entries(Json::arrayValue);
-  const auto Daemons = allDaemons(Command, Hooks);
-  const auto Answers = Hooks.FetchEach(Daemons, DaemonPath);
-  for (size_t I = 0; I < Answers.size(); ++I) {
-    if (Answers[I].has_error() || !Answers[I].value().isObject()) {
-      Result.Err +=
-          "warning: " + base::toString(Daemons[I]) + " has not answered\n";
-      continue;
-    }
-    Json::Value Entry = Answers[I].value();
-    Entry["control"] = base::toString(Daemons[I]);
-    Entries.append(Entry);
-  }
-  if (Entries.empty())
+  const DaemonReports Reports = askAll(Command, Hooks, DaemonPath);
+  if (Reports.Entries.empty())
     return failure(base::makeError(ErrorKind::Unavailable,
                                    "no daemon has answered; check --server="));
-  Result.Out = formatTable(
-      rowsOf({"control", "name", "role", "ready", "state", "routes_version",
-              "routes_revision", "flows", "waiting"},
-             Entries),
-      Command.Format);
+  Output Result =
+      success(rowsOf({"control", "name", "role", "ready", "state",
+                      "routes_version", "routes_revision", "flows", "waiting"},
+                     Reports.Entries),
+              Command);
+  Result.Err = Reports.Warnings;
   return Result;
 }
 
 Output traceFlow(const Command &Command, const Hooks &Hooks) {
-  const auto Daemons = allDaemons(Command, Hooks);
-  const auto Answers = Hooks.FetchEach(
-      Daemons, std::string(FlowPath) + "?client=" + Command.Arguments[0] +
-                   "&service=" + Command.Arguments[1]);
-  Output Result;
-  Json::Value Entries(Json::arrayValue);
-  for (size_t I = 0; I < Answers.size(); ++I) {
-    if (Answers[I].has_error() || !Answers[I].value().isObject()) {
-      Result.Err +=
-          "warning: " + base::toString(Daemons[I]) + " has not answered\n";
-      continue;
-    }
-    Json::Value Entry = Answers[I].value();
-    if (!Entry["known"].isBool() || !Entry["known"].asBool())
-      continue;
-    Entry["control"] = base::toString(Daemons[I]);
-    Entries.append(Entry);
-  }
-  if (Entries.empty()) {
+  const DaemonReports Reports =
+      askAll(Command, Hooks,
+             std::string(FlowPath) + "?client=" + Command.Arguments[0] +
+                 "&service=" + Command.Arguments[1]);
+  Json::Value Known(Json::arrayValue);
+  for (const Json::Value &Entry : Reports.Entries)
+    if (Entry["known"].isBool() && Entry["known"].asBool())
+      Known.append(Entry);
+  Output Result =
+      success(rowsOf({"control", "role", "agent", "offers", "refusals",
+                      "searching", "open", "waiting", "not_held", "class"},
+                     Known),
+              Command);
+  Result.Err = Reports.Warnings;
+  if (Known.empty()) {
     Result.Code = ExitCode::NotFound;
     Result.Err += "no daemon that answered knows the flow\n";
   }
-  Result.Out =
-      formatTable(rowsOf({"control", "role", "agent", "offers", "refusals",
-                          "searching", "open", "waiting", "not_held", "class"},
-                         Entries),
-                  Command.Format);
   return Result;
 }
 
--- a/packages/ctl/src/RecordReadCommands.cpp
+++ b/packages/ctl/src/RecordReadCommands.cpp
@@ -28,10 +28,10 @@
       callForList(Hooks, "record.list", Json::objectValue, "records");
   if (Answer.has_error())
     return failure(Answer.error());
-  const Table Table = rowsOf({"service", "team", "address", "schema_version",
-                              "revision", "retired", "serves_address"},
-                             Answer.value()["records"]);
-  return {ExitCode::Ok, formatTable(Table, Command.Format), ""};
+  return success(rowsOf({"service", "team", "address", "schema_version",
+                         "revision", "retired", "serves_address"},
+                        Answer.value()["records"]),
+                 Command);
 }
 
 Output validateRecords(const Command &Command, const Hooks &Hooks) {
--- a/packages/ctl/src/ReportCommands.cpp
+++ b/packages/ctl/src/ReportCommands.cpp
@@ -6,10 +6,6 @@
 
 namespace {
 
-Output success(const Table &Table, const Command &Command) {
-  return {ExitCode::Ok, formatTable(Table, Command.Format), ""};
-}
-
 std::string labelText(const Json::Value &Labels) {
   std::string Text;
   for (const std::string &Name : Labels.getMemberNames())
--- a/packages/flowd/src/AgentRegistration.cpp
+++ b/packages/flowd/src/AgentRegistration.cpp
@@ -1,7 +1,7 @@
 #include "burdockstream/flowd/AgentRegistration.h"
 
-#include "LoopTimer.h"
 #include "burdockstream/flowd/AgentEntries.h"
+#include "burdockstream/network/LoopTimer.h"
 
 #include <utility>
 
@@ -27,7 +27,7 @@
 void AgentRegistration::next(base::Duration Delay, std::function<void()> Step) {
   if (Timer != 0)
     g_source_remove(Timer);
-  Timer = callLater(Delay, [this, Run = std::move(Step)] {
+  Timer = network::callLater(Delay, [this, Run = std::move(Step)] {
     Timer = 0;
     Run();
   });
--- a/packages/flowd/src/AgentShell.cpp
+++ b/packages/flowd/src/AgentShell.cpp
@@ -1,7 +1,8 @@
 #include "AgentShell.h"
 
-#include "LoopTimer.h"
+#include "BootClock.h"
 #include "burdockstream/flowd/AgentEntries.h"
+#include "burdockstream/network/LoopTimer.h"
 
 #include <algorithm>
 #include <utility>
@@ -120,16 +121,11 @@
 }
 
 base::Result<void> AgentShell::openSockets() {
-  auto ForFrames =
-      network::UdpSocket::open(Settings.Data, frameSocketOptions());
-  if (ForFrames.has_error())
-    return ForFrames.error();
-  Data = std::move(ForFrames.value());
-  auto ForTarget =
-      network::UdpSocket::open(Settings.Agent->Outbound, frameSocketOptions());
-  if (ForTarget.has_error())
-    return ForTarget.error();
-  Outbound = std::move(ForTarget.value());
+  auto Opened = openFrameSocket(Settings.Data, Data);
+  if (Opened.has_value())
+    Opened = openFrameSocket(Settings.Agent->Outbound, Outbound);
+  if (Opened.has_error())
+    return Opened;
   for (const base::SocketAddress Address :
        {Settings.Agent->Heartbeats, Settings.Control}) {
     const auto Listening = Server.listen(Address);
@@ -153,7 +149,7 @@
                    });
   Core.start(readClocks().Monotonic);
   Registration.set(entry());
-  Timer = callEvery(TickInterval, [this] { tick(); });
+  Timer = network::callEvery(TickInterval, [this] { tick(); });
   return boost::outcome_v2::success();
 }
 
@@ -272,8 +268,7 @@
   Fields["from"] = std::string(toString(From));
   Fields["to"] = std::string(toString(To));
   Fields["cause"] = std::string(Cause);
-  Fields["heartbeat_age_ms"] = Json::Int64(
-      std::chrono::duration_cast<std::chrono::milliseconds>(BeatAge).count());
+  Fields["heartbeat_age_ms"] = Json::Int64(base::toMilliseconds(BeatAge));
   Fields["flows"] = Json::UInt64(Core.flows());
   Log.write(LogPriority::Process, "target_state", Fields, readClocks());
 }
@@ -304,19 +299,20 @@
 void AgentShell::beginShutdown() {
   const base::TimePoint Now = readClocks().Monotonic;
   Core.beginLeaving(Now);
-  callLater(ShortestLeave, [this, Now] { leaveWhenIdle(Now + LongestLeave); });
+  network::callLater(ShortestLeave,
+                     [this, Now] { leaveWhenIdle(Now + LongestLeave); });
 }
 
 void AgentShell::leaveWhenIdle(base::TimePoint Latest) {
   const bool Stopped = Core.state() == flows::TargetState::Stopped;
   if (!Stopped && Core.waiting() > 0 && readClocks().Monotonic < Latest) {
-    callLater(LeavePoll, [this, Latest] { leaveWhenIdle(Latest); });
+    network::callLater(LeavePoll, [this, Latest] { leaveWhenIdle(Latest); });
     return;
   }
   // An agent that restarts keeps its entry for the next run.
   if (!Stopped)
     return OnFinished();
-  callLater(WithdrawTime, OnFinished);
+  network::callLater(WithdrawTime, OnFinished);
   Registration.withdraw(OnFinished);
 }
 
--- a/packages/flowd/src/BalancerShell.cpp
+++ b/packages/flowd/src/BalancerShell.cpp
@@ -1,8 +1,9 @@
 #include "BalancerShell.h"
 
-#include "LoopTimer.h"
+#include "BootClock.h"
 #include "burdockstream/base/JsonText.h"
 #include "burdockstream/flowd/AgentEntries.h"
+#include "burdockstream/network/LoopTimer.h"
 
 #include <utility>
 
@@ -79,8 +80,21 @@
   return Hooks;
 }
 
-WatchHooks BalancerShell::routesHooks() {
+WatchHooks BalancerShell::storeHooks(const char *What) {
   WatchHooks Hooks;
+  Hooks.OnLost = [this, What](const base::Error &Reason) {
+    logStore("store_lost", What, &Reason);
+    updateFreshness();
+  };
+  Hooks.OnRegained = [this, What] {
+    logStore("store_regained", What, nullptr);
+    updateFreshness();
+  };
+  return Hooks;
+}
+
+WatchHooks BalancerShell::routesHooks() {
+  WatchHooks Hooks = storeHooks("routes");
   Hooks.OnSnapshot = [this](const store::RangeReply &Reply) {
     for (const store::KeyValue &Each : Reply.Values)
       if (Each.Key == Environment.RoutesKey)
@@ -90,19 +104,11 @@
     if (!Event.Deleted && Event.Entry.Key == Environment.RoutesKey)
       takeRoutes(Event.Entry.Value, Event.Entry.ModRevision, "store");
   };
-  Hooks.OnLost = [this](const base::Error &Reason) {
-    logStore("store_lost", "routes", &Reason);
-    updateFreshness();
-  };
-  Hooks.OnRegained = [this] {
-    logStore("store_regained", "routes", nullptr);
-    updateFreshness();
-  };
   return Hooks;
 }
 
 WatchHooks BalancerShell::agentsHooks() {
-  WatchHooks Hooks;
+  WatchHooks Hooks = storeHooks("agents");
   Hooks.OnSnapshot = [this](const store::RangeReply &Reply) {
     std::vector<flows::AgentEntry> Entries;
     for (const store::KeyValue &Each : Reply.Values) {
@@ -115,14 +121,6 @@
     Core.setAgents(Entries, readClocks().Monotonic);
   };
   Hooks.OnEvent = [this](const store::WatchEvent &Event) { takeAgent(Event); };
-  Hooks.OnLost = [this](const base::Error &Reason) {
-    logStore("store_lost", "agents", &Reason);
-    updateFreshness();
-  };
-  Hooks.OnRegained = [this] {
-    logStore("store_regained", "agents", nullptr);
-    updateFreshness();
-  };
   return Hooks;
 }
 
@@ -143,8 +141,7 @@
 void BalancerShell::takeRoutes(const std::string &Text, base::Revision Revision,
                                const std::string &Source) {
   const base::Now Now = readClocks();
-  const auto *Known = Core.routes();
-  if (Known && Revision <= Known->Revision)
+  if (Core.routes() && Revision <= Core.routesRevision())
     return;
   Json::Value Fields;
   Fields["revision"] = Json::Int64(Revision);
@@ -178,14 +175,11 @@
 }
 
 base::Result<void> BalancerShell::openSockets() {
-  auto Data = network::UdpSocket::open(Settings.Data, frameSocketOptions());
-  if (Data.has_error())
-    return Data.error();
-  Ingress = std::move(Data.value());
-  auto Peers = network::UdpSocket::open(Settings.Control, frameSocketOptions());
-  if (Peers.has_error())
-    return Peers.error();
-  Frames = std::move(Peers.value());
+  auto Opened = openFrameSocket(Settings.Data, Ingress);
+  if (Opened.has_value())
+    Opened = openFrameSocket(Settings.Control, Frames);
+  if (Opened.has_error())
+    return Opened;
   for (const auto &Address :
        {Settings.Ready, std::optional(Settings.Control), Settings.Seed}) {
     if (!Address)
@@ -223,7 +217,7 @@
   Agents->start();
   for (const base::SocketAddress Peer : Settings.Peers)
     meetPeer(Peer);
-  Timer = callEvery(TickInterval, [this] { tick(); });
+  Timer = network::callEvery(TickInterval, [this] { tick(); });
   return boost::outcome_v2::success();
 }
 
@@ -294,7 +288,7 @@
 
 std::string BalancerShell::stateForPeers() const {
   Json::Value State;
-  State["revision"] = Json::Int64(Core.routes() ? Core.routes()->Revision : 0);
+  State["revision"] = Json::Int64(Core.routesRevision());
   State["routes"] = RoutesText;
   State["agents"] = Json::arrayValue;
   for (const auto &Each : Core.targets().all())
@@ -385,7 +379,7 @@
 
 void BalancerShell::beginShutdown() {
   Stopping = true;
-  callLater(std::min(LingerTime, Settings.GracePeriod), OnFinished);
+  network::callLater(std::min(LingerTime, Settings.GracePeriod), OnFinished);
 }
 
 } // namespace burdockstream::flowd
--- a/packages/flowd/src/BalancerShell.h
+++ b/packages/flowd/src/BalancerShell.h
@@ -28,6 +28,7 @@
 
 private:
   flows::BalancerHooks coreHooks();
+  WatchHooks storeHooks(const char *What);
   WatchHooks routesHooks();
   WatchHooks agentsHooks();
   base::Result<void> openSockets();
--- a/packages/flowd/src/DecisionLog.cpp
+++ b/packages/flowd/src/DecisionLog.cpp
@@ -21,9 +21,8 @@
   Fields["candidates"] = Decision.Candidates;
   Fields["waiting"] = Decision.Waiting;
   Fields["slots"] = Decision.Slots;
-  Fields["status_age_ms"] = Json::Int64(
-      std::chrono::duration_cast<std::chrono::milliseconds>(Decision.StatusAge)
-          .count());
+  Fields["status_age_ms"] =
+      Json::Int64(base::toMilliseconds(Decision.StatusAge));
   return Fields;
 }
 
--- a/packages/flowd/src/FlowProcess.cpp
+++ b/packages/flowd/src/FlowProcess.cpp
@@ -1,7 +1,8 @@
 #include "burdockstream/flowd/FlowProcess.h"
 
-#include "LoopTimer.h"
+#include "BootClock.h"
 #include "burdockstream/flowd/FlowDaemon.h"
+#include "burdockstream/network/LoopTimer.h"
 
 #include <cstdlib>
 #include <glib-unix.h>
@@ -65,7 +66,7 @@
     g_unix_signal_add(SIGTERM, onTerminate, this);
     g_unix_signal_add(SIGINT, onTerminate, this);
     g_unix_signal_add(SIGHUP, onHangUp, this);
-    callEvery(SettingsPoll, [this] { poll(); });
+    network::callEvery(SettingsPoll, [this] { poll(); });
     g_main_loop_run(Loop);
     // The last frames are in the send queue, which is flushed before the loop
     // waits.
--- a/packages/flowd/src/FlowReports.cpp
+++ b/packages/flowd/src/FlowReports.cpp
@@ -13,10 +13,6 @@
 constexpr const char *DaemonPath = "/v1/daemon";
 constexpr const char *FlowPath = "/v1/flow";
 
-int64_t milliseconds(base::Duration Time) {
-  return std::chrono::duration_cast<std::chrono::milliseconds>(Time).count();
-}
-
 std::optional<base::SocketAddress> addressOf(const http::ServerRequest &Request,
                                              const std::string &Name) {
   const auto Found = Request.Query.find(Name);
@@ -81,7 +77,8 @@
   Entry["slots"] = Target.Status.Slots;
   Entry["waiting"] = Target.Status.Waiting;
   Entry["flows"] = Target.Status.Flows;
-  Entry["status_age_ms"] = Json::Int64(milliseconds(Now - Target.LastHeard));
+  Entry["status_age_ms"] =
+      Json::Int64(base::toMilliseconds(Now - Target.LastHeard));
   Entry["listed"] = Target.Listed;
   return Entry;
 }
@@ -113,12 +110,12 @@
       Ready += flows::takesFlows(*Each, Now) ? 1 : 0;
     }
   const flows::RouteTable *Routes = Core.routes();
-  Registry.gauge("routes_revision").set(Routes ? Routes->Revision : 0);
+  Registry.gauge("routes_revision").set(Core.routesRevision());
   Registry.gauge("routes_version")
       .set(Routes ? static_cast<int64_t>(Routes->Version) : 0);
   Registry.gauge("routes_age_ms")
-      .set(Routes ? milliseconds(Now - Core.routesSince()) : 0);
-  Registry.gauge("oldest_status_age_ms").set(milliseconds(Oldest));
+      .set(Routes ? base::toMilliseconds(Now - Core.routesSince()) : 0);
+  Registry.gauge("oldest_status_age_ms").set(base::toMilliseconds(Oldest));
   Registry.gauge("targets").set(static_cast<int64_t>(Core.targets().size()));
   Registry.gauge("targets_ready").set(Ready);
   Registry.gauge("flows").set(static_cast<int64_t>(Core.flows()));
@@ -130,7 +127,8 @@
 
 void exportState(base::Metrics &Registry, const flows::FlowAgent &Core,
                  base::TimePoint Now) {
-  Registry.gauge("heartbeat_age_ms").set(milliseconds(Core.heartbeatAge(Now)));
+  Registry.gauge("heartbeat_age_ms")
+      .set(base::toMilliseconds(Core.heartbeatAge(Now)));
   Registry.gauge("flows").set(static_cast<int64_t>(Core.flows()));
   Registry.gauge("requests_waiting").set(Core.waiting());
   Registry.gauge("openings_held").set(static_cast<int64_t>(Core.held()));
@@ -164,7 +162,7 @@
   Report["target"] = base::toString(Core.target().Address);
   Report["state"] = std::string(toString(Core.state()));
   Report["heartbeat_age_ms"] =
-      Json::Int64(milliseconds(Core.heartbeatAge(Now)));
+      Json::Int64(base::toMilliseconds(Core.heartbeatAge(Now)));
   Report["slots"] = Core.slots();
   Report["waiting"] = Core.waiting();
   Report["routes_revision"] = Json::Int64(Core.newestRoutes());
--- a/packages/flowd/src/FrameSocket.h
+++ b/packages/flowd/src/FrameSocket.h
@@ -29,6 +29,17 @@
   return Options;
 }
 
+// Opens a socket at Address into Out. Thread safety: any thread.
+inline base::Result<void>
+openFrameSocket(base::SocketAddress Address,
+                std::unique_ptr<network::UdpSocket> &Out) {
+  auto Opened = network::UdpSocket::open(Address, frameSocketOptions());
+  if (Opened.has_error())
+    return Opened.error();
+  Out = std::move(Opened.value());
+  return boost::outcome_v2::success();
+}
+
 // Queues a frame of Header and Body without a copy in between. Thread safety:
 // loop thread only.
 inline void sendFrame(network::UdpSocket &Socket, base::SocketAddress To,
--- a/packages/flowd/src/WatchedPrefix.cpp
+++ b/packages/flowd/src/WatchedPrefix.cpp
@@ -1,6 +1,6 @@
 #include "burdockstream/flowd/WatchedPrefix.h"
 
-#include "LoopTimer.h"
+#include "burdockstream/network/LoopTimer.h"
 
 #include <algorithm>
 #include <utility>
@@ -59,7 +59,7 @@
     Hooks.OnLost(Reason);
   if (RetrySource != 0)
     return;
-  RetrySource = callLater(Delay, [this] {
+  RetrySource = network::callLater(Delay, [this] {
     RetrySource = 0;
     read();
   });
--- a/packages/flows/include/burdockstream/flows/FlowAgent.h
+++ b/packages/flows/include/burdockstream/flows/FlowAgent.h
@@ -11,13 +11,13 @@
 #include "burdockstream/base/Time.h"
 #include "burdockstream/flows/AgingMap.h"
 #include "burdockstream/flows/FlowDecision.h"
+#include "burdockstream/flows/FlowTimes.h"
 #include "burdockstream/flows/Frame.h"
 #include "burdockstream/flows/Heartbeat.h"
 #include "burdockstream/flows/HeldOpenings.h"
 #include "burdockstream/flows/Packet.h"
 #include "burdockstream/flows/TargetStatus.h"
 
-#include <deque>
 #include <functional>
 #include <string>
 #include <vector>
@@ -252,14 +252,12 @@
 
   AgingMap<FlowRecord> Flows;
   AgingMap<Trial> Trials;
-  std::deque<std::pair<FlowKey, base::TimePoint>> TrialTimes; // oldest first
+  FlowTimes TrialTimes;
   AgingMap<bool> NotHeld;
   base::TimePoint NextAging{};
   base::TimePoint NextNotHeldAging{};
-  // Flows whose opening packet was delivered a moment ago, oldest first.
-  std::deque<std::pair<FlowKey, base::TimePoint>> Openings;
-  // Requests by the time when they arrived, oldest first.
-  std::deque<std::pair<FlowKey, base::TimePoint>> Requests;
+  FlowTimes Openings; // opening packets that were delivered
+  FlowTimes Requests; // requests that arrived
   uint32_t Opening = 0;
   HeldOpenings Held;
   uint32_t Waiting = 0;
--- a/packages/flows/include/burdockstream/flows/FlowBalancer.h
+++ b/packages/flows/include/burdockstream/flows/FlowBalancer.h
@@ -140,6 +140,10 @@
   bool canServe(base::TimePoint Now) const;
 
   const RouteTable *routes() const { return Routes.get(); }
+  // Revision of the routes in force, 0 if there are none.
+  base::Revision routesRevision() const {
+    return Routes ? Routes->Revision : 0;
+  }
   base::TimePoint routesSince() const { return RoutesSince; }
   const TargetTable &targets() const { return Targets; }
   size_t flows() const { return Flows.size(); }
@@ -164,8 +168,7 @@
     bool AskedLost = false;    // some agent counts as lost; see LostAnswerTime
     uint32_t Acknowledged = 0; // newest of the client
     // What the client sent meanwhile, for the agent that holds the flow.
-    std::vector<std::vector<uint8_t>> Kept;
-    Packet Newest; // of those in Kept, without its bytes
+    std::vector<KeptPacket> Kept;
     base::TimePoint NewestArrivedAt;
     base::TimePoint NextAsk;
     base::Duration AskInterval = ReaskTime;
@@ -182,8 +185,10 @@
                FrameKind Kind = FrameKind::Forward);
   void search(const Packet &Packet, TargetIndex Excluded, base::TimePoint Now);
   bool admitSearch(size_t Asked, base::TimePoint Now);
-  void ask(Search &Running, const Route &Route, TargetIndex Excluded,
-           const Packet &Packet, base::TimePoint Now);
+  std::vector<TargetIndex> possibleHolders(const Route &Route) const;
+  void ask(Search &Running, const std::vector<TargetIndex> &Holders,
+           TargetIndex Excluded, const Packet &Packet, base::TimePoint Now);
+  std::span<const uint8_t> headerOf(const Packet &Packet) const;
   void askAgain(base::TimePoint Now);
   void sendSearches();
   void askSilent(Search &Running, base::TimePoint Now);
@@ -191,13 +196,13 @@
   void park(const Packet &Packet, WaitFor Reason);
   void replayParked(base::TimePoint Now);
   void replay(WaitFor Reason, base::TimePoint Now);
-  void sendKept(const Search &Running, TargetIndex Index, FrameKind Kind);
+  void sendKept(Search &Running, TargetIndex Index, FrameKind Kind);
   void finishSearch(const FlowKey &Flow, Search &Done, base::TimePoint Now);
   void onReturned(TargetIndex Agent, ReturnReason Reason, const Packet &Packet,
                   base::TimePoint Now);
   void onUnsure(TargetIndex Agent, const FlowKey &Flow);
   void onHeld(TargetIndex Agent, const FlowKey &Flow, base::TimePoint Now);
-  void onNotHeld(TargetIndex Agent, const Packet &Packet, base::TimePoint Now);
+  void onNotHeld(TargetIndex Agent, const FlowKey &Flow, base::TimePoint Now);
   void refuse(const Packet &Packet, DecisionKind Kind, size_t Candidates);
   void sendHellos(base::TimePoint Now);
   bool isSettled(base::TimePoint Now) const;
--- a/packages/flows/include/burdockstream/flows/HeldOpenings.h
+++ b/packages/flows/include/burdockstream/flows/HeldOpenings.h
@@ -44,16 +44,8 @@
 struct HeldOpening {
   base::SocketAddress Balancer;
   FrameHeader Header;
-  Packet Value; // its Bytes are invalid, see packet()
-  std::vector<uint8_t> Bytes;
+  KeptPacket Kept;
   base::TimePoint HeldSince;
-
-  // Valid as long as this object.
-  Packet packet() {
-    Packet Result = Value;
-    Result.Bytes = Bytes;
-    return Result;
-  }
 };
 
 // Thread safety: one thread at a time.
--- a/packages/flows/include/burdockstream/flows/Packet.h
+++ b/packages/flows/include/burdockstream/flows/Packet.h
@@ -27,6 +27,27 @@
   std::span<uint8_t> Bytes; // the whole datagram
 };
 
+// A copy of a packet that outlives the datagram it came in.
+class KeptPacket {
+public:
+  explicit KeptPacket(const Packet &Original)
+      : Value(Original), Bytes(Original.Bytes.begin(), Original.Bytes.end()) {}
+
+  const FlowKey &flow() const { return Value.Flow; }
+  bool opens() const { return Value.Opens; }
+
+  // Returns the packet. Its bytes are valid as long as this object.
+  Packet packet() {
+    Packet Result = Value;
+    Result.Bytes = Bytes;
+    return Result;
+  }
+
+private:
+  Packet Value; // its Bytes are those of the datagram, see packet()
+  std::vector<uint8_t> Bytes;
+};
+
 // Which end of the flow wrote a packet: the addresses stand in its header in
 // the order sender, receiver.
 enum class Sender : uint8_t { Client, Target };
--- a/packages/flows/include/burdockstream/flows/ParkedPackets.h
+++ b/packages/flows/include/burdockstream/flows/ParkedPackets.h
@@ -34,17 +34,9 @@
 inline constexpr size_t MaxParked = 1024;
 
 struct ParkedPacket {
-  Packet Value; // its Bytes are invalid, see packet()
-  std::vector<uint8_t> Bytes;
+  KeptPacket Kept;
   WaitFor Reason = WaitFor::Knowledge;
   base::TimePoint ArrivedAt;
-
-  // Valid as long as this object.
-  Packet packet() {
-    Packet Result = Value;
-    Result.Bytes = Bytes;
-    return Result;
-  }
 };
 
 // Thread safety: one thread at a time.
--- a/packages/flows/src/AgentBeliefs.cpp
+++ b/packages/flows/src/AgentBeliefs.cpp
@@ -170,9 +170,8 @@
   Status.Slots = Slots;
   Status.Waiting = waiting();
   Status.Flows = OpenFlows;
-  const auto Warm = std::chrono::duration_cast<std::chrono::milliseconds>(
-      std::max(WarmUntil - Now, base::Duration(0)));
-  Status.WarmupMs = static_cast<uint32_t>(Warm.count());
+  Status.WarmupMs = static_cast<uint32_t>(
+      base::toMilliseconds(std::max(WarmUntil - Now, base::Duration(0))));
   Status.ServiceTimeUs = static_cast<uint32_t>(MeanServiceUs);
   Status.NewestRoutes = NewestRoutes;
   Status.NewestRoutesAt = NewestRoutesAt;
--- a/packages/flows/src/AgentOpenings.cpp
+++ b/packages/flows/src/AgentOpenings.cpp
@@ -58,17 +58,18 @@
     auto Next = Held.takeNext();
     const ReturnReason Reason = gate(Next->Header, Now);
     if (Reason == ReturnReason::None)
-      deliverOpening(Next->Balancer, Next->Header, Next->packet(), Now);
+      deliverOpening(Next->Balancer, Next->Header, Next->Kept.packet(), Now);
     else
-      returnOpening(Next->Balancer, Next->Header, Next->packet(), Reason, Now);
+      returnOpening(Next->Balancer, Next->Header, Next->Kept.packet(), Reason,
+                    Now);
   }
 }
 
 void FlowAgent::returnHeld(std::vector<HeldOpening> Overdue,
                            base::TimePoint Now) {
   for (HeldOpening &Each : Overdue)
-    returnOpening(Each.Balancer, Each.Header, Each.packet(), ReturnReason::Busy,
-                  Now);
+    returnOpening(Each.Balancer, Each.Header, Each.Kept.packet(),
+                  ReturnReason::Busy, Now);
 }
 
 // Load pattern: after an outage hundreds of clients open flows within one
@@ -80,16 +81,16 @@
     return;
   Record.Opening = true;
   ++Opening;
-  Openings.emplace_back(Flow, Now);
+  Openings.add(Flow, Now);
 }
 
 void FlowAgent::expireOpenings(base::TimePoint Now) {
-  while (!Openings.empty() && Now - Openings.front().second > OpeningLife) {
-    FlowRecord *Record = Flows.use(Openings.front().first);
-    if (Record && std::exchange(Record->Opening, false))
-      --Opening;
-    Openings.pop_front();
-  }
+  Openings.takeOlder(OpeningLife, Now,
+                     [this](const FlowKey &Flow, base::TimePoint) {
+                       FlowRecord *Record = Flows.use(Flow);
+                       if (Record && std::exchange(Record->Opening, false))
+                         --Opening;
+                     });
 }
 
 } // namespace burdockstream::flows
--- a/packages/flows/src/AgentSearches.cpp
+++ b/packages/flows/src/AgentSearches.cpp
@@ -43,7 +43,7 @@
   const auto Named = headerOf(Packet);
   Trials.insert(Packet.Flow) = {balancerIndex(From),
                                 {Named.begin(), Named.end()}};
-  TrialTimes.emplace_back(Packet.Flow, Now);
+  TrialTimes.add(Packet.Flow, Now);
   deliver(From, Packet, true);
 }
 
@@ -58,9 +58,9 @@
 }
 
 void FlowAgent::settleTrials(base::TimePoint Now) {
-  for (; !TrialTimes.empty() && Now - TrialTimes.front().second > TrialTime;
-       TrialTimes.pop_front())
-    settleTrial(TrialTimes.front().first);
+  TrialTimes.takeOlder(
+      TrialTime, Now,
+      [this](const FlowKey &Flow, base::TimePoint) { settleTrial(Flow); });
 }
 
 } // namespace burdockstream::flows
--- a/packages/flows/src/FlowAgent.cpp
+++ b/packages/flows/src/FlowAgent.cpp
@@ -89,17 +89,17 @@
   Record.Waiting = true;
   Record.RequestedAt = Now;
   ++Waiting;
-  Requests.emplace_back(Packet.Flow, Now);
+  Requests.add(Packet.Flow, Now);
 }
 
 void FlowAgent::expireWaiting(base::TimePoint Now) {
-  for (; !Requests.empty() && Now - Requests.front().second > WaitingLife;
-       Requests.pop_front()) {
-    FlowRecord *Record = Flows.use(Requests.front().first);
-    if (Record && Record->RequestedAt == Requests.front().second &&
-        std::exchange(Record->Waiting, false))
-      --Waiting;
-  }
+  Requests.takeOlder(WaitingLife, Now,
+                     [this](const FlowKey &Flow, base::TimePoint At) {
+                       FlowRecord *Record = Flows.use(Flow);
+                       if (Record && Record->RequestedAt == At &&
+                           std::exchange(Record->Waiting, false))
+                         --Waiting;
+                     });
 }
 
 void FlowAgent::noteAnswer(FlowRecord &Record, base::TimePoint Now) {
--- a/packages/flows/src/FlowBalancer.cpp
+++ b/packages/flows/src/FlowBalancer.cpp
@@ -151,7 +151,7 @@
   Header.WorkClass =
       static_cast<uint8_t>(Route ? Route->Class : WorkClass::Other);
   Header.Service = Route ? serviceOf(*Route, Packet.Flow) : To.Service;
-  Header.Routes = Routes ? Routes->Revision : 0;
+  Header.Routes = routesRevision();
   Hooks.SendFrame(To.Agent, Header, Packet.Bytes);
 }
 
@@ -170,8 +170,7 @@
   if (!Updated)
     return;
   News = News || (!TookFlows && takesFlows(*Updated, Now));
-  if (Status.NewestRoutes > (Routes ? Routes->Revision : 0) &&
-      Hooks.OnNewerRoutes)
+  if (Status.NewestRoutes > routesRevision() && Hooks.OnNewerRoutes)
     Hooks.OnNewerRoutes(Status.NewestRoutes, Status.NewestRoutesAt);
 }
 
@@ -198,7 +197,7 @@
 void FlowBalancer::sendHellos(base::TimePoint Now) {
   FrameHeader Header;
   Header.Kind = FrameKind::Hello;
-  Header.Routes = Routes ? Routes->Revision : 0;
+  Header.Routes = routesRevision();
   const auto Listed = packHello({Self.Control, false, Self.FailureDomain});
   const auto Missing =
       packHello({Self.Control, isSettled(Now), Self.FailureDomain});
@@ -246,7 +245,7 @@
   FlowDecision Decision;
   Decision.Kind = Kind;
   Decision.Flow = Flow;
-  Decision.Routes = Routes ? Routes->Revision : 0;
+  Decision.Routes = routesRevision();
   Decision.Candidates = static_cast<uint32_t>(Candidates);
   if (const Route *Route = Routes ? Routes->find(Flow) : nullptr)
     Decision.Class = Route->Class;
--- a/packages/flows/src/FlowParking.cpp
+++ b/packages/flows/src/FlowParking.cpp
@@ -12,14 +12,14 @@
   Replaying = true;
   for (ParkedPacket &Each : Parked.take(Reason)) {
     ArrivedAt = Each.ArrivedAt;
-    handle(Each.packet(), Now);
+    handle(Each.Kept.packet(), Now);
   }
   Replaying = false;
 }
 
 void FlowBalancer::replayParked(base::TimePoint Now) {
   for (const ParkedPacket &Each : Parked.takeExpired(Now))
-    decide(DecisionKind::WaitExpired, Each.Value.Flow, NoTarget, 0, Now);
+    decide(DecisionKind::WaitExpired, Each.Kept.flow(), NoTarget, 0, Now);
   const bool Settled = isSettled(Now);
   News = News || (Settled && !WasSettled);
   WasSettled = Settled;
--- a/packages/flows/src/FlowSearch.cpp
+++ b/packages/flows/src/FlowSearch.cpp
@@ -5,18 +5,21 @@
 
 namespace burdockstream::flows {
 
-namespace {
-
-// Services whose targets may hold flows of Route.
-std::vector<base::ServiceId> servicesOf(const Route &Route) {
-  std::vector<base::ServiceId> Result = Route.Former;
+// Targets of the services that Route has, or had in earlier revisions.
+std::vector<TargetIndex>
+FlowBalancer::possibleHolders(const Route &Route) const {
+  std::vector<TargetIndex> Result;
+  const auto Add = [&](base::ServiceId Service) {
+    const auto &Some = Targets.ofService(Service);
+    Result.insert(Result.end(), Some.begin(), Some.end());
+  };
+  for (const base::ServiceId Service : Route.Former)
+    Add(Service);
   for (const WeightedService &Each : Route.Services)
-    Result.push_back(Each.Service);
+    Add(Each.Service);
   return Result;
 }
 
-} // namespace
-
 void FlowBalancer::search(const Packet &Packet, TargetIndex Excluded,
                           base::TimePoint Now) {
   const Route *Route = Routes ? Routes->find(Packet.Flow) : nullptr;
@@ -31,23 +34,20 @@
   }
   auto Found = Searches.find(Packet.Flow);
   if (Found == Searches.end()) {
-    size_t Asked = 0;
-    for (const base::ServiceId Service : servicesOf(*Route))
-      Asked += Targets.ofService(Service).size();
-    if (!admitSearch(Asked, Now))
+    const auto Holders = possibleHolders(*Route);
+    if (!admitSearch(Holders.size(), Now))
       return park(Packet, WaitFor::SearchBudget);
-    if (Asked == 0) { // an empty list proves nothing
+    if (Holders.empty()) { // an empty list proves nothing
       park(Packet, WaitFor::Knowledge);
       return decide(DecisionKind::Unsettled, Packet.Flow, NoTarget, 0, Now);
     }
     Found = Searches.try_emplace(Packet.Flow).first;
-    ask(Found->second, *Route, Excluded, Packet, Now);
+    ask(Found->second, Holders, Excluded, Packet, Now);
   }
   Search &Running = Found->second;
   Running.Acknowledged = Packet.Acknowledged;
   if (Running.Kept.size() < MaxKept) {
-    Running.Kept.emplace_back(Packet.Bytes.begin(), Packet.Bytes.end());
-    Running.Newest = Packet;
+    Running.Kept.emplace_back(Packet);
     Running.NewestArrivedAt = ArrivedAt;
   }
   for (const TargetIndex Index : Running.Unsure)
@@ -68,52 +68,54 @@
   return true;
 }
 
-// Asks all agents that may hold the flow. A lost agent is asked too, but its
-// answer is not waited for.
-void FlowBalancer::ask(Search &Running, const Route &Route,
+// Asks all agents that may hold the flow. One that counts as lost is asked too,
+// but the search ends without its answer after LostAnswerTime.
+void FlowBalancer::ask(Search &Running, const std::vector<TargetIndex> &Holders,
                        TargetIndex Excluded, const Packet &Packet,
                        base::TimePoint Now) {
   Running.Started = Now;
   Running.NextAsk = Now + Running.AskInterval;
-  const size_t HeaderBytes =
-      std::min(Self.PacketHeaderBytes, Packet.Bytes.size());
-  for (const base::ServiceId Service : servicesOf(Route))
-    for (const TargetIndex Index : Targets.ofService(Service)) {
-      const Target &Asked = *Targets.at(Index);
-      if (Index == Excluded && !isLost(Asked, Now))
-        continue;
-      // The flows of a process that has ended are gone with it.
-      if (Asked.Heard && Asked.Status.State == TargetState::Stopped)
-        continue;
-      Batch.add(Asked.Agent, Service, Packet.Bytes.first(HeaderBytes));
-      if (isLost(Asked, Now))
-        Running.AskedLost = true;
-      else
-        Running.Open.push_back(Index);
-    }
+  for (const TargetIndex Index : Holders) {
+    const Target &Asked = *Targets.at(Index);
+    const bool Lost = isLost(Asked, Now);
+    if (Index == Excluded && !Lost)
+      continue;
+    // The flows of a process that has ended are gone with it.
+    if (Asked.Heard && Asked.Status.State == TargetState::Stopped)
+      continue;
+    Batch.add(Asked.Agent, Asked.Service, headerOf(Packet));
+    if (Lost)
+      Running.AskedLost = true;
+    else
+      Running.Open.push_back(Index);
+  }
   if (!Batching)
     sendSearches();
   decide(DecisionKind::Searched, Packet.Flow, Excluded, Running.Open.size(),
          Now);
 }
 
+std::span<const uint8_t> FlowBalancer::headerOf(const Packet &Packet) const {
+  return Packet.Bytes.first(
+      std::min(Self.PacketHeaderBytes, Packet.Bytes.size()));
+}
+
 void FlowBalancer::sendSearches() {
-  Batch.flush(Routes ? Routes->Revision : 0, Hooks.SendFrame);
+  Batch.flush(routesRevision(), Hooks.SendFrame);
 }
 
 void FlowBalancer::askSilent(Search &Running, base::TimePoint Now) {
   if (!admitSearch(Running.Open.size(), Now))
     return;
-  const std::span<const uint8_t> Newest = Running.Kept.back();
+  const Packet Newest = Running.Kept.back().packet();
   for (const TargetIndex Index : Running.Open) {
     const Target &Silent = *Targets.at(Index);
-    Batch.add(Silent.Agent, Silent.Service,
-              Newest.first(std::min(Self.PacketHeaderBytes, Newest.size())));
+    Batch.add(Silent.Agent, Silent.Service, headerOf(Newest));
   }
 }
 
 void FlowBalancer::askAgain(base::TimePoint Now) {
-  std::vector<FlowKey> Settled;
+  std::vector<FlowKey> Answered;
   for (auto &[Flow, Running] : Searches) {
     if (Now < Running.NextAsk)
       continue;
@@ -125,14 +127,14 @@
                   [&](TargetIndex Index) { return !Targets.at(Index); });
     if (Running.Open.empty()) {
       if (!Running.AskedLost || Now - Running.Started >= LostAnswerTime)
-        Settled.push_back(Flow);
+        Answered.push_back(Flow);
       continue;
     }
     askSilent(Running, Now);
     decide(DecisionKind::AskedAgain, Flow, Running.Open.front(),
            Running.Open.size(), Now);
   }
-  for (const FlowKey &Flow : Settled) {
+  for (const FlowKey &Flow : Answered) {
     auto Done = Searches.extract(Flow);
     finishSearch(Flow, Done.mapped(), Now);
   }
@@ -150,15 +152,10 @@
   });
 }
 
-void FlowBalancer::sendKept(const Search &Running, TargetIndex Index,
+void FlowBalancer::sendKept(Search &Running, TargetIndex Index,
                             FrameKind Kind) {
-  const Target &To = *Targets.at(Index);
-  FrameHeader Header;
-  Header.Kind = Kind;
-  Header.Service = To.Service;
-  Header.Routes = Routes ? Routes->Revision : 0;
-  for (const auto &Bytes : Running.Kept)
-    Hooks.SendFrame(To.Agent, Header, Bytes);
+  for (KeptPacket &Each : Running.Kept)
+    forward(Each.packet(), Index, nullptr, Kind);
 }
 
 void FlowBalancer::finishSearch(const FlowKey &Flow, Search &Done,
@@ -167,10 +164,8 @@
   if (Settled) {
     Hooks.SendReset(Flow, Done.Acknowledged);
   } else {
-    Packet Waiting = Done.Newest;
-    Waiting.Bytes = Done.Kept.back();
     ArrivedAt = Done.NewestArrivedAt;
-    park(Waiting, WaitFor::SettledView);
+    park(Done.Kept.back().packet(), WaitFor::SettledView);
   }
   decide(Settled ? DecisionKind::ResetUnheld : DecisionKind::Unsettled, Flow,
          NoTarget, 0, Now);
@@ -190,7 +185,7 @@
   case FrameKind::Held:
     return onHeld(Index, Packet.Flow, Now);
   case FrameKind::NotHeld:
-    return onNotHeld(Index, Packet, Now);
+    return onNotHeld(Index, Packet.Flow, Now);
   case FrameKind::Unsure:
     return onUnsure(Index, Packet.Flow);
   default:
@@ -245,9 +240,9 @@
   decide(DecisionKind::Found, Flow, Agent, 0, Now);
 }
 
-void FlowBalancer::onNotHeld(TargetIndex Agent, const Packet &Packet,
+void FlowBalancer::onNotHeld(TargetIndex Agent, const FlowKey &Flow,
                              base::TimePoint Now) {
-  const auto Found = Searches.find(Packet.Flow);
+  const auto Found = Searches.find(Flow);
   if (Found == Searches.end())
     return;
   std::erase(Found->second.Open, Agent);
@@ -257,7 +252,7 @@
       (Running.AskedLost && Now - Running.Started < LostAnswerTime))
     return; // tick() ends the search
   auto Done = Searches.extract(Found);
-  finishSearch(Packet.Flow, Done.mapped(), Now);
+  finishSearch(Flow, Done.mapped(), Now);
 }
 
 } // namespace burdockstream::flows
--- a/packages/flows/src/Frame.cpp
+++ b/packages/flows/src/Frame.cpp
@@ -1,5 +1,6 @@
 #include "burdockstream/flows/Frame.h"
 
+#include "burdockstream/base/LittleEndian.h"
 #include "burdockstream/base/NameTable.h"
 #include "burdockstream/messages/Pack.h"
 
@@ -30,20 +31,6 @@
     {TargetState::Leaving, "leaving"},
 }});
 
-template <typename IntegerT>
-void writeInteger(IntegerT Value, std::span<uint8_t> Out, size_t Offset) {
-  for (size_t I = 0; I < sizeof(Value); ++I)
-    Out[Offset + I] =
-        static_cast<uint8_t>(static_cast<uint64_t>(Value) >> (8 * I));
-}
-
-uint64_t readInteger(std::span<const uint8_t> In, size_t Offset) {
-  uint64_t Value = 0;
-  for (size_t I = 0; I < 8; ++I)
-    Value |= uint64_t{In[Offset + I]} << (8 * I);
-  return Value;
-}
-
 // Control address, whether the entry is missing; the failure domain follows.
 constexpr size_t HelloBytes = 9;
 
@@ -66,8 +53,8 @@
   Out[1] = static_cast<uint8_t>(Header.Reason);
   Out[2] = Header.WorkClass;
   Out[3] = 0;
-  writeInteger(Header.Service.Value, Out, 4);
-  writeInteger(Header.Routes, Out, 12);
+  base::writeLittleEndian(Out, 4, Header.Service.Value);
+  base::writeLittleEndian(Out, 12, Header.Routes);
 }
 
 std::optional<Frame> readFrame(std::span<uint8_t> Datagram) {
@@ -80,15 +67,15 @@
   Result.Header.Kind = static_cast<FrameKind>(Datagram[0]);
   Result.Header.Reason = static_cast<ReturnReason>(Datagram[1]);
   Result.Header.WorkClass = Datagram[2];
-  Result.Header.Service.Value = readInteger(Datagram, 4);
-  Result.Header.Routes = static_cast<base::Revision>(readInteger(Datagram, 12));
+  Result.Header.Service.Value = base::readLittleEndian<uint64_t>(Datagram, 4);
+  Result.Header.Routes = base::readLittleEndian<base::Revision>(Datagram, 12);
   Result.Body = Datagram.subspan(FrameHeaderBytes);
   return Result;
 }
 
 std::vector<uint8_t> packHello(const Hello &Hello) {
   std::vector<uint8_t> Body(HelloBytes + Hello.FailureDomain.size());
-  writeInteger(base::packAddress(Hello.Control), Body, 0);
+  base::writeLittleEndian(Body, 0, base::packAddress(Hello.Control));
   Body[8] = Hello.EntryMissing ? 1 : 0;
   std::copy(Hello.FailureDomain.begin(), Hello.FailureDomain.end(),
             Body.begin() + HelloBytes);
@@ -98,7 +85,7 @@
 std::optional<Hello> unpackHello(std::span<const uint8_t> Body) {
   if (Body.size() < HelloBytes)
     return std::nullopt;
-  const uint64_t Packed = readInteger(Body, 0);
+  const uint64_t Packed = base::readLittleEndian<uint64_t>(Body, 0);
   return Hello{
       {static_cast<uint32_t>(Packed >> 16), static_cast<uint16_t>(Packed)},
       Body[8] != 0,
--- a/packages/flows/src/HeldOpenings.cpp
+++ b/packages/flows/src/HeldOpenings.cpp
@@ -18,13 +18,9 @@
 void HeldOpenings::hold(base::SocketAddress Balancer, const FrameHeader &Header,
                         const Packet &Packet, base::TimePoint Now) {
   for (const HeldOpening &Each : Held)
-    if (Each.Value.Flow == Packet.Flow)
+    if (Each.Kept.flow() == Packet.Flow)
       return;
-  Held.push_back({Balancer,
-                  Header,
-                  Packet,
-                  {Packet.Bytes.begin(), Packet.Bytes.end()},
-                  Now});
+  Held.push_back({Balancer, Header, KeptPacket(Packet), Now});
 }
 
 std::optional<HeldOpening> HeldOpenings::takeNext() {
--- a/packages/flows/src/ParkedPackets.cpp
+++ b/packages/flows/src/ParkedPackets.cpp
@@ -8,8 +8,8 @@
                         base::TimePoint ArrivedAt) {
   if (Packets.size() >= MaxParked && Packets.count(Packet.Flow) == 0)
     return false;
-  Packets[Packet.Flow] = {
-      Packet, {Packet.Bytes.begin(), Packet.Bytes.end()}, Reason, ArrivedAt};
+  Packets.insert_or_assign(Packet.Flow,
+                           ParkedPacket{KeptPacket(Packet), Reason, ArrivedAt});
   return true;
 }
 
@@ -36,7 +36,7 @@
 std::vector<ParkedPacket> ParkedPackets::takeExpired(base::TimePoint Now) {
   return takeIf([Now](const ParkedPacket &Each) {
     return Now - Each.ArrivedAt >
-           (Each.Value.Opens ? ParkedOpeningLife : ParkedLife);
+           (Each.Kept.opens() ? ParkedOpeningLife : ParkedLife);
   });
 }
 
--- a/packages/flows/test/BalancerTest.cpp
+++ b/packages/flows/test/BalancerTest.cpp
@@ -30,15 +30,9 @@
                   {{ShopAddress, std::string(Shop)},
                    {VaultAddress, std::string(Vault)}});
     W.listAll();
-    for (size_t I = 0; I < W.Agents.size(); ++I)
-      W.beat(I);
+    W.beatAll();
     W.run(seconds(1));
-    beatAll();
-  }
-
-  void beatAll() {
-    for (size_t I = 0; I < W.Agents.size(); ++I)
-      W.beat(I);
+    W.beatAll();
   }
 
   World W;
@@ -78,7 +72,7 @@
 // flow.
 TEST_F(BalancerTest, ResetsAFlowThatNoTargetHolds) {
   W.run(seconds(1));
-  beatAll();
+  W.beatAll();
   W.send(0, World::flow(40001));
   ASSERT_EQ(W.Resets.size(), 1U);
   EXPECT_EQ(W.Resets[0], World::flow(40001));
@@ -95,7 +89,7 @@
   W.Agents[Holder].Running = false;
   for (int I = 0; I < 10; ++I) {
     W.run(milliseconds(300));
-    beatAll();
+    W.beatAll();
     W.send(1, Flow);
   }
   EXPECT_TRUE(W.Resets.empty());
@@ -118,7 +112,7 @@
   W.Balancers[1].Running = false; // until agents have forgotten it
   for (int I = 0; I < 4; ++I) {
     W.run(seconds(1));
-    beatAll();
+    W.beatAll();
   }
   W.restartBalancer(1);
   W.setRoutes(1, 10, {{ShopAddress, std::string(Shop)}});
@@ -128,7 +122,7 @@
   const size_t Other = W.holder(Flow) == 0 ? 1 : 0;
   Fresh.setAgents({{W.Agents[Other].Address, std::string(Shop), "a"}}, W.Now);
   W.run(seconds(2));
-  beatAll();
+  W.beatAll();
   W.send(1, Flow);
   EXPECT_TRUE(W.Resets.empty());
 }
@@ -161,7 +155,7 @@
   W.run(milliseconds(100));
   W.Agents[0].Running = false;
   W.run(seconds(1));
-  beatAll();
+  W.beatAll();
   W.send(0, World::flow(40001));
   EXPECT_EQ(W.Resets.size(), 1U);
 }
@@ -180,7 +174,7 @@
   for (AgentPlace &Place : W.Agents)
     Place.Target.Full = true;
   W.run(seconds(1));
-  beatAll();
+  W.beatAll();
   W.open(0, World::flow(40001));
   EXPECT_EQ(W.Resets.size(), 1U);
   EXPECT_EQ(W.count(DecisionKind::RefusedNoTarget), 1U);
@@ -195,7 +189,7 @@
     Place.Target.Full = true;
   W.Agents[static_cast<size_t>(W.holder(Flow))].Core->beginLeaving(W.Now);
   W.run(seconds(1));
-  beatAll();
+  W.beatAll();
   W.open(1, Flow, 1);
   EXPECT_TRUE(W.Resets.empty());
 }
@@ -236,7 +230,7 @@
 TEST_F(BalancerTest, PlacesNothingAtAnAgentThatFellSilent) {
   W.Agents[0].Running = W.Agents[1].Running = false;
   W.run(seconds(1));
-  beatAll();
+  W.beatAll();
   for (uint16_t Port = 1; Port <= 20; ++Port)
     W.visit(0, World::flow(Port));
   EXPECT_EQ(W.Agents[2].Target.Opened.size(), 20U);
@@ -247,7 +241,7 @@
   W.Balancers[0].Core->setAgents({}, W.Now);
   for (int I = 0; I < 5; ++I) {
     W.run(seconds(1));
-    beatAll();
+    W.beatAll();
   }
   W.open(0, World::flow(40001));
   EXPECT_GE(W.holder(World::flow(40001)), 0);
@@ -274,7 +268,7 @@
   EXPECT_LE(W.count(DecisionKind::Searched) * 3, SearchFrameBurst);
   EXPECT_GT(W.Balancers[0].Core->droppedSearches(), 0U);
   W.run(seconds(1));
-  beatAll();
+  W.beatAll();
   const uint64_t Before = W.count(DecisionKind::Searched);
   W.send(0, World::flow(5001), 0);
   EXPECT_EQ(W.count(DecisionKind::Searched), Before + 1);
--- a/packages/flows/test/FlowFixture.cpp
+++ b/packages/flows/test/FlowFixture.cpp
@@ -180,6 +180,11 @@
   Place.Core->onHeartbeat(Beat, Now);
 }
 
+void World::beatAll() {
+  for (size_t I = 0; I < Agents.size(); ++I)
+    beat(I);
+}
+
 void World::run(base::Duration Time) {
   for (const base::TimePoint End = Now + Time; Now < End; Now += Tick) {
     for (BalancerPlace &Place : Balancers)
--- a/packages/flows/test/FlowFixture.h
+++ b/packages/flows/test/FlowFixture.h
@@ -86,6 +86,7 @@
                  WorkClass Class = WorkClass::Idempotent);
   void listAll();
   void beat(size_t Agent, bool Draining = false);
+  void beatAll();
 
   // Lets all processes tick, and targets beat, for Time.
   void run(base::Duration Time);
--- a/packages/flows/test/HeldOpeningsTest.cpp
+++ b/packages/flows/test/HeldOpeningsTest.cpp
@@ -177,11 +177,11 @@
     while (Held.size() > 0 &&
            hasRoom(static_cast<uint32_t>(Answers.size()), Slots)) {
       const auto Next = Held.takeNext();
-      Serve(Next->Value.Flow.Client.Port,
-            AskedAt[Next->Value.Flow.Client.Port]);
+      Serve(Next->Kept.flow().Client.Port,
+            AskedAt[Next->Kept.flow().Client.Port]);
     }
     for (HeldOpening &Each : Held.takeOverdue(Now)) // as its client asks again
-      Held.hold({}, {}, Each.Value, Now);
+      Held.hold({}, {}, Each.Kept.packet(), Now);
   }
   return InTime;
 }
--- a/packages/flows/test/ParkingTest.cpp
+++ b/packages/flows/test/ParkingTest.cpp
@@ -29,15 +29,10 @@
     W.setRoutes(Balancer, 10, {{ShopAddress, std::string(Shop)}});
   }
 
-  void beatAll() {
-    for (size_t I = 0; I < W.Agents.size(); ++I)
-      W.beat(I);
-  }
-
   void runAndBeat(base::Duration Time) {
-    beatAll();
+    W.beatAll();
     W.run(Time);
-    beatAll();
+    W.beatAll();
   }
 
   FlowBalancer &balancer(size_t Index) { return *W.Balancers[Index].Core; }
@@ -245,7 +240,7 @@
   const auto Holder = static_cast<size_t>(W.holder(Flow));
   W.Agents[Holder].Running = false;
   W.run(LostStatus - milliseconds(400));
-  beatAll();
+  W.beatAll();
   W.send(1, Flow);
   W.run(SearchLife - milliseconds(200));
   EXPECT_TRUE(W.Resets.empty());
--- a/packages/records/src/RecordWriter.cpp
+++ b/packages/records/src/RecordWriter.cpp
@@ -6,10 +6,6 @@
 
 namespace {
 
-int64_t milliseconds(base::Duration Time) {
-  return std::chrono::duration_cast<std::chrono::milliseconds>(Time).count();
-}
-
 Json::Value domainShares(const ServiceConfig &Config) {
   Json::Value Map(Json::objectValue);
   for (const DomainShare &Share : Config.DomainShares)
@@ -22,7 +18,7 @@
     Root["endpoint_weights"] = domainShares(Config);
   if (Config.DrainTimeout != DefaultDrainTimeout)
     Root["drain_seconds"] =
-        Json::Int64{milliseconds(Config.DrainTimeout) / 1'000};
+        Json::Int64{base::toMilliseconds(Config.DrainTimeout) / 1'000};
   if (Config.SlotsPerEndpoint != DefaultSlots)
     Root["slots"] = Config.SlotsPerEndpoint;
 }
@@ -49,7 +45,7 @@
     Root["drain"]["endpoints"].append(base::toString(Address));
   if (Config.DrainTimeout != DefaultDrainTimeout)
     Root["drain"]["timeout_ms"] =
-        Json::Int64{milliseconds(Config.DrainTimeout)};
+        Json::Int64{base::toMilliseconds(Config.DrainTimeout)};
   writeLimits(Config, Root);
   for (const ClassRule &Rule : Config.Classes) {
     Json::Value Entry(Json::objectValue);
@@ -57,7 +53,7 @@
     Entry["class"] = std::string(toString(Rule.Class));
     Entry["idempotent"] = Rule.Idempotent;
     if (Rule.Expected != base::Duration(0))
-      Entry["expected_ms"] = Json::Int64{milliseconds(Rule.Expected)};
+      Entry["expected_ms"] = Json::Int64{base::toMilliseconds(Rule.Expected)};
     Root["classes"].append(Entry);
   }
 }
@@ -84,7 +80,8 @@
   AddIf(Config.Buckets != DefaultBuckets, "buckets");
   AddIf(!Config.EndpointShares.empty(), "share.by_endpoint_address");
   AddIf(!Config.DrainedEndpoints.empty(), "drain.endpoints");
-  AddIf(milliseconds(Config.DrainTimeout) % 1'000 != 0, "drain.timeout_ms");
+  AddIf(base::toMilliseconds(Config.DrainTimeout) % 1'000 != 0,
+        "drain.timeout_ms");
   AddIf(Config.ConnectionsPerEndpoint != DefaultConnections,
         "limits.connections_per_endpoint");
   AddIf(Config.TeamMaxSlots.has_value(), "limits.team_max_slots");
--- a/packages/store/include/burdockstream/store/Store.h
+++ b/packages/store/include/burdockstream/store/Store.h
@@ -71,6 +71,11 @@
 using RangeCallback = std::function<void(base::Result<RangeReply>)>;
 using LeaseCallback = std::function<void(base::Result<LeaseReply>)>;
 using DoneCallback = std::function<void(base::Result<void>)>;
+
+// Returns a callback that passes on whether a call succeeded, without its
+// answer. Thread safety: any thread.
+http::JsonCallback toDone(DoneCallback Callback);
+
 using WatchCallback = std::function<void(const WatchEvent &)>;
 using WatchEndCallback = std::function<void(base::Error)>;
 
--- a/packages/store/src/CallCounters.cpp
+++ b/packages/store/src/Store.cpp
@@ -1,5 +1,7 @@
 #include "burdockstream/store/Store.h"
 
+#include <utility>
+
 namespace burdockstream::store {
 
 void exportCounters(base::Metrics &Registry, const CallCounters &Counters) {
@@ -11,4 +13,13 @@
   Set("store_failures", Counters.Failures);
 }
 
+http::JsonCallback toDone(DoneCallback Callback) {
+  return [Done = std::move(Callback)](base::Result<Json::Value> Answer) {
+    if (Answer.has_error())
+      Done(Answer.error());
+    else
+      Done(boost::outcome_v2::success());
+  };
+}
+
 } // namespace burdockstream::store
--- a/packages/store/src/StoreClient.cpp
+++ b/packages/store/src/StoreClient.cpp
@@ -50,15 +50,6 @@
   return Reply;
 }
 
-http::JsonCallback toDone(DoneCallback Callback) {
-  return [Done = std::move(Callback)](Result<Json::Value> Answer) {
-    if (Answer.has_error())
-      Done(Answer.error());
-    else
-      Done(boost::outcome_v2::success());
-  };
-}
-
 void deliverWatchAnswer(const Json::Value &Answer,
                         const WatchCallback &OnEvent) {
   for (const Json::Value &Event : Answer["result"]["events"])
--- a/testing/flow_soak/src/FlowSoak.cpp
+++ b/testing/flow_soak/src/FlowSoak.cpp
@@ -2,6 +2,7 @@
 
 #include "Process.h"
 #include "burdockstream/base/Random.h"
+#include "burdockstream/network/LoopTimer.h"
 #include "burdockstream/testing/PlatformStoreStandIn.h"
 
 #include <csignal>
@@ -65,7 +66,7 @@
   }
 
   SoakReport run() {
-    const guint Beats = every(400, [this] {
+    const guint Beats = network::callEvery(milliseconds(400), [this] {
       for (const auto &Target : Targets)
         Target->beat();
     });
@@ -75,7 +76,8 @@
         [this](const flows::FlowKey &Flow) { return route(Flow); },
         [this](const flows::FlowKey &Flow) { return isHeld(Flow); },
         Report.Found);
-    const guint Ticks = every(20, [this] { Clients->tick(); });
+    const guint Ticks =
+        network::callEvery(milliseconds(20), [this] { Clients->tick(); });
     e2e::runLoopFor(milliseconds(1000));
     const gint64 End = g_get_monotonic_time() +
                        Options.FaultTime / std::chrono::microseconds(1);
@@ -96,32 +98,6 @@
 private:
   uint64_t below(uint64_t Bound) { return base::randomBelow(Random, Bound); }
 
-  static guint every(guint Ms, std::function<void()> Run) {
-    return g_timeout_add_full(
-        G_PRIORITY_DEFAULT, Ms,
-        [](gpointer Data) -> gboolean {
-          (*static_cast<std::function<void()> *>(Data))();
-          return G_SOURCE_CONTINUE;
-        },
-        new std::function<void()>(std::move(Run)),
-        [](gpointer Data) {
-          delete static_cast<std::function<void()> *>(Data);
-        });
-  }
-
-  static void later(milliseconds Delay, std::function<void()> Run) {
-    g_timeout_add_full(
-        G_PRIORITY_DEFAULT, static_cast<guint>(Delay.count()),
-        [](gpointer Data) -> gboolean {
-          (*static_cast<std::function<void()> *>(Data))();
-          return G_SOURCE_REMOVE;
-        },
-        new std::function<void()>(std::move(Run)),
-        [](gpointer Data) {
-          delete static_cast<std::function<void()> *>(Data);
-        });
-  }
-
   // The fabric: a hash over all balancers; a running one is not preferred, so
   // that packets also reach those that are away.
   base::SocketAddress route(const flows::FlowKey &Flow) const {
@@ -180,7 +156,7 @@
   }
 
   void restart(size_t Index) {
-    later(RestartDelay, [this, Index] {
+    network::callLater(RestartDelay, [this, Index] {
       if (Processes[Index]->hasEnded())
         Processes[Index] = start(Index);
       else
@@ -196,8 +172,8 @@
     SoakTarget &Leaving = *Targets[below(Targets.size())];
     if (DrainTime.count() > 0)
       Leaving.drain();
-    later(DrainTime, [&Leaving] { Leaving.end(); });
-    later(DrainTime + TargetAwayTime, [this, &Leaving] {
+    network::callLater(DrainTime, [&Leaving] { Leaving.end(); });
+    network::callLater(DrainTime + TargetAwayTime, [this, &Leaving] {
       Leaving.startAnew();
       TargetLeaves = false;
     });
@@ -216,15 +192,17 @@
       return restart(Index);
     case 3:
       Processes[Index]->signal(SIGSTOP);
-      return later(milliseconds(Pause),
-                   [this, Index] { Processes[Index]->signal(SIGCONT); });
+      network::callLater(milliseconds(Pause),
+                         [this, Index] { Processes[Index]->signal(SIGCONT); });
+      return;
     case 4: {
       constexpr StoreFault Kinds[] = {StoreFault::Busy, StoreFault::Reset,
                                       StoreFault::Silent,
                                       StoreFault::LostAnswer};
       Store.setFault(Kinds[below(4)]);
-      return later(milliseconds(2 * Pause),
-                   [this] { Store.setFault(StoreFault::None); });
+      network::callLater(milliseconds(2 * Pause),
+                         [this] { Store.setFault(StoreFault::None); });
+      return;
     }
     case 5:
       return Store.lapse();
@@ -236,8 +214,9 @@
       return replaceTarget(TargetDrainTime);
     case 9:
       for (int I = 0; I < ConfigSeries; ++I)
-        later(I * ConfigGap,
-              [this] { Store.put("op/config", routes(++Version)); });
+        network::callLater(I * ConfigGap, [this] {
+          Store.put("op/config", routes(++Version));
+        });
       return;
     default:
       ++Rotation; // the fabric moves all flows to other balancers
--- a/testing/flow_soak/src/SoakParts.cpp
+++ b/testing/flow_soak/src/SoakParts.cpp
@@ -84,11 +84,10 @@
                           base::toString(place(2, Index, HeartbeatPort)) +
                           "/api/Endpoints.Heartbeat/i-" + std::to_string(Index);
   Client.send({Url, base::compactJson(Body), {}, std::chrono::seconds(1)},
-              [this, Says = Draining, Run = Born, Alive = std::weak_ptr(Life)](
-                  const base::Result<http::HttpResponse> &Answer) {
-                if (!Alive.expired() && Says && Run == Born &&
-                    DrainAckedAtMs == 0 && Answer.has_value() &&
-                    Answer.value().Status == 200)
+              [this, Says = Draining,
+               Run = Born](const base::Result<http::HttpResponse> &Answer) {
+                if (Says && Run == Born && DrainAckedAtMs == 0 &&
+                    Answer.has_value() && Answer.value().Status == 200)
                   DrainAckedAtMs = nowMs();
               });
 }
--- a/testing/flow_soak/src/SoakParts.h
+++ b/testing/flow_soak/src/SoakParts.h
@@ -72,8 +72,6 @@
   bool Running = true;
   bool Draining = false;
   int64_t DrainAckedAtMs = 0; // 0: not acknowledged
-  // Answers to heartbeats may come after the object.
-  std::shared_ptr<int> Life = std::make_shared<int>(0);
 };
 
 // One client that keeps a flow open and sends a request after the other.
--- a/testing/platform_standin/src/PlatformStoreStandIn.cpp
+++ b/testing/platform_standin/src/PlatformStoreStandIn.cpp
@@ -1,6 +1,7 @@
 #include "burdockstream/testing/PlatformStoreStandIn.h"
 
 #include "burdockstream/base/JsonText.h"
+#include "burdockstream/network/LoopTimer.h"
 #include "burdockstream/store/Base64.h"
 
 #include <algorithm>
@@ -10,7 +11,7 @@
 
 namespace {
 
-constexpr guint TickMs = 20;
+constexpr std::chrono::milliseconds TickInterval{20};
 constexpr size_t PageItems = 50; // small, so that tests see several pages
 
 int64_t nowMs() { return g_get_monotonic_time() / 1000; }
@@ -43,11 +44,6 @@
   return Path.starts_with(Prefix) ? number(Path.substr(Prefix.size())) : -1;
 }
 
-gboolean runTick(gpointer Data) {
-  (*static_cast<std::function<void()> *>(Data))();
-  return G_SOURCE_CONTINUE;
-}
-
 } // namespace
 
 PlatformStoreStandIn::PlatformStoreStandIn()
@@ -55,10 +51,7 @@
                     const std::shared_ptr<http::Responder> &Out) {
         onRequest(Request, Out);
       }) {
-  Timer = g_timeout_add_full(
-      G_PRIORITY_DEFAULT, TickMs, runTick,
-      new std::function<void()>([this] { tick(); }),
-      [](gpointer Data) { delete static_cast<std::function<void()> *>(Data); });
+  Timer = network::callEvery(TickInterval, [this] { tick(); });
 }
 
 PlatformStoreStandIn::~PlatformStoreStandIn() { g_source_remove(Timer); }
