Ask every agent before a flow is reset

Cause: a configuration sends a route to the other service. Ruled out: former services kept in the store or handed on by peers; both are gone after the restart that needs them, or cost a write before each configuration is applied. Change: a search asks the agents of the route's services first. When all of these have answered that their targets do not hold the flow, it asks all other agents, of whatever service; only then is the flow reset.

--- a/packages/flows/include/burdockstream/flows/FlowBalancer.h
+++ b/packages/flows/include/burdockstream/flows/FlowBalancer.h
@@ -1,10 +1,13 @@
 // The decision core of a balancer of flow services: which agent gets a packet,
 // and when a flow is reset. It has no sockets, clocks or threads.
 //
-// A flow that this balancer placed is in its table. A packet of any other flow,
-// because the fabric has moved it here, goes to all agents of its service; the
-// one whose target holds the flow delivers it and answers. A flow is reset only
-// if it is known that no living target holds it.
+// A flow that this balancer placed is in its table. For any other flow, because
+// the fabric has moved it here, the agents of its route's services are asked
+// first; the one whose target holds the flow delivers its packets. If none of
+// them does, all other agents are asked: an earlier configuration may have sent
+// the flow to any service, and no process has to remember it. A flow is reset
+// only if every agent that can answer has said that its target does not hold
+// it.
 #ifndef BURDOCKSTREAM_FLOWS_FLOWBALANCER_H
 #define BURDOCKSTREAM_FLOWS_FLOWBALANCER_H
 
@@ -163,10 +166,12 @@
   // Agents that have yet to answer whether their target holds a flow.
   struct Search {
     base::TimePoint Started;
-    std::vector<TargetIndex> Open;
+    std::vector<TargetIndex> Asked;  // all, whether they have answered or not
+    std::vector<TargetIndex> Open;   // those that are waited for
     std::vector<TargetIndex> Unsure; // of Open: those that try the packets
-    bool AskedLost = false;    // some agent counts as lost; see LostAnswerTime
-    uint32_t Acknowledged = 0; // newest of the client
+    bool AskedAll = false;           // not only the likely holders
+    base::TimePoint LostMayAnswerUntil{}; // see LostAnswerTime
+    uint32_t Acknowledged = 0;            // newest of the client
     // What the client sent meanwhile, for the agent that holds the flow.
     std::vector<KeptPacket> Kept;
     base::TimePoint NewestArrivedAt;
@@ -185,9 +190,12 @@
                FrameKind Kind = FrameKind::Forward);
   void search(const Packet &Packet, TargetIndex Excluded, base::TimePoint Now);
   bool admitSearch(size_t Asked, base::TimePoint Now);
-  std::vector<TargetIndex> possibleHolders(const Route &Route) const;
+  std::vector<TargetIndex> likelyHolders(const Route &Route) const;
+  std::vector<TargetIndex> notAsked(const Search &Running) const;
   void ask(Search &Running, const std::vector<TargetIndex> &Holders,
-           TargetIndex Excluded, const Packet &Packet, base::TimePoint Now);
+           std::span<const uint8_t> Header, base::TimePoint Now);
+  bool askAll(Search &Running, base::TimePoint Now);
+  bool isAnswered(Search &Running, base::TimePoint Now);
   std::span<const uint8_t> headerOf(const Packet &Packet) const;
   void askAgain(base::TimePoint Now);
   void sendSearches();
--- a/packages/flows/src/FlowSearch.cpp
+++ b/packages/flows/src/FlowSearch.cpp
@@ -5,9 +5,10 @@
 
 namespace burdockstream::flows {
 
-// Targets of the services that Route has, or had in earlier revisions.
+// Targets of the services that Route has, or had in earlier revisions that this
+// process knows of.
 std::vector<TargetIndex>
-FlowBalancer::possibleHolders(const Route &Route) const {
+FlowBalancer::likelyHolders(const Route &Route) const {
   std::vector<TargetIndex> Result;
   const auto Add = [&](base::ServiceId Service) {
     const auto &Some = Targets.ofService(Service);
@@ -20,6 +21,17 @@
   return Result;
 }
 
+std::vector<TargetIndex> FlowBalancer::notAsked(const Search &Running) const {
+  std::vector<bool> Asked(Targets.all().size());
+  for (const TargetIndex Index : Running.Asked)
+    Asked[Index] = true;
+  std::vector<TargetIndex> Result;
+  for (TargetIndex Index = 0; Index < Asked.size(); ++Index)
+    if (Targets.at(Index) && !Asked[Index])
+      Result.push_back(Index);
+  return Result;
+}
+
 void FlowBalancer::search(const Packet &Packet, TargetIndex Excluded,
                           base::TimePoint Now) {
   const Route *Route = Routes ? Routes->find(Packet.Flow) : nullptr;
@@ -34,15 +46,24 @@
   }
   auto Found = Searches.find(Packet.Flow);
   if (Found == Searches.end()) {
-    const auto Holders = possibleHolders(*Route);
+    auto Holders = likelyHolders(*Route);
     if (!admitSearch(Holders.size(), Now))
       return park(Packet, WaitFor::SearchBudget);
-    if (Holders.empty()) { // an empty list proves nothing
+    if (Targets.size() == 0) { // an empty list proves nothing
       park(Packet, WaitFor::Knowledge);
       return decide(DecisionKind::Unsettled, Packet.Flow, NoTarget, 0, Now);
     }
     Found = Searches.try_emplace(Packet.Flow).first;
-    ask(Found->second, Holders, Excluded, Packet, Now);
+    Search &New = Found->second;
+    New.Started = Now;
+    New.NextAsk = Now + New.AskInterval;
+    if (const Target *Sender = Targets.at(Excluded);
+        Sender && !isLost(*Sender, Now)) {
+      New.Asked.push_back(Excluded);
+      std::erase(Holders, Excluded);
+    }
+    ask(New, Holders, headerOf(Packet), Now);
+    decide(DecisionKind::Searched, Packet.Flow, Excluded, New.Open.size(), Now);
   }
   Search &Running = Found->second;
   Running.Acknowledged = Packet.Acknowledged;
@@ -68,31 +89,46 @@
   return true;
 }
 
-// Asks all agents that may hold the flow. One that counts as lost is asked too,
-// but the search ends without its answer after LostAnswerTime.
+// Asks Holders for the flow of Header. One that counts as lost is asked too, but
+// is waited for no longer than LostAnswerTime.
 void FlowBalancer::ask(Search &Running, const std::vector<TargetIndex> &Holders,
-                       TargetIndex Excluded, const Packet &Packet,
-                       base::TimePoint Now) {
-  Running.Started = Now;
-  Running.NextAsk = Now + Running.AskInterval;
+                       std::span<const uint8_t> Header, base::TimePoint Now) {
   for (const TargetIndex Index : Holders) {
     const Target &Asked = *Targets.at(Index);
-    const bool Lost = isLost(Asked, Now);
-    if (Index == Excluded && !Lost)
-      continue;
+    Running.Asked.push_back(Index);
     // The flows of a process that has ended are gone with it.
     if (Asked.Heard && Asked.Status.State == TargetState::Stopped)
       continue;
-    Batch.add(Asked.Agent, Asked.Service, headerOf(Packet));
-    if (Lost)
-      Running.AskedLost = true;
+    Batch.add(Asked.Agent, Asked.Service, Header);
+    if (isLost(Asked, Now))
+      Running.LostMayAnswerUntil = Now + LostAnswerTime;
     else
       Running.Open.push_back(Index);
   }
   if (!Batching)
     sendSearches();
-  decide(DecisionKind::Searched, Packet.Flow, Excluded, Running.Open.size(),
-         Now);
+}
+
+// Asks the agents that were not asked yet, of whatever service. Returns false
+// if there is no room for it now.
+bool FlowBalancer::askAll(Search &Running, base::TimePoint Now) {
+  const auto Others = notAsked(Running);
+  if (!admitSearch(Others.size(), Now))
+    return false;
+  Running.AskedAll = true;
+  const Packet Newest = Running.Kept.back().packet();
+  ask(Running, Others, headerOf(Newest), Now);
+  return true;
+}
+
+// Whether all agents have answered that their targets do not hold the flow. If
+// only the likely holders have, the others are asked.
+bool FlowBalancer::isAnswered(Search &Running, base::TimePoint Now) {
+  if (!Running.Open.empty())
+    return false;
+  if (!Running.AskedAll && (!askAll(Running, Now) || !Running.Open.empty()))
+    return false;
+  return Now >= Running.LostMayAnswerUntil;
 }
 
 std::span<const uint8_t> FlowBalancer::headerOf(const Packet &Packet) const {
@@ -126,7 +162,7 @@
     std::erase_if(Running.Open,
                   [&](TargetIndex Index) { return !Targets.at(Index); });
     if (Running.Open.empty()) {
-      if (!Running.AskedLost || Now - Running.Started >= LostAnswerTime)
+      if (isAnswered(Running, Now))
         Answered.push_back(Flow);
       continue;
     }
@@ -247,9 +283,7 @@
     return;
   std::erase(Found->second.Open, Agent);
   std::erase(Found->second.Unsure, Agent);
-  const Search &Running = Found->second;
-  if (!Running.Open.empty() ||
-      (Running.AskedLost && Now - Running.Started < LostAnswerTime))
+  if (!isAnswered(Found->second, Now))
     return; // tick() ends the search
   auto Done = Searches.extract(Found);
   finishSearch(Flow, Done.mapped(), Now);
