Bound what a balancer greets, searches and asks of the store

Cause: every balancer greeted every agent and heard of all of them; each search asked all targets of a service; each change of an agent's entry cost a store call of every balancer. Ruled out: gossip among balancers (measured in packages/membership; it spreads who lives, which agents' statuses do already), load reports on each answer (a balancer of 59 places too few flows a second to keep 109 targets current by them), a subset of each flow's own (placement would ignore load), entries without a lease (a vanished agent would stay listed). Change: a balancer greets the agents of its failure domain and four to ten others of each service (flows/Greeting.h), those that hold its flows, and any that is not listed; for two seconds after its start it greets all. A search asks the near agents of the service, then all of the service, then all. Before a reset the balancer catches up with the store's list, so that watches may pause (flowd/StorePacing.h). An agent that leaves with its target says so in its entry.

--- a/packages/daemon/src/RecordWatch.h
+++ b/packages/daemon/src/RecordWatch.h
@@ -45,7 +45,7 @@
 
   store::StoreClient &Client;
   RecordWatchHooks Hooks;
-  std::unique_ptr<http::HttpStream> Stream;
+  std::unique_ptr<store::Watch> Stream;
   // Tells the answer to the current start() from that to an earlier one.
   std::shared_ptr<bool> Current;
 };
--- a/packages/flowd/include/burdockstream/flowd/AgentRegistration.h
+++ b/packages/flowd/include/burdockstream/flowd/AgentRegistration.h
@@ -45,7 +45,8 @@
   // A balancer does not see the entry although it sees the store.
   void onMissed();
 
-  // Removes the entry, then calls Done, also if that fails.
+  // Says in the entry that the target has ended, and removes it; then calls
+  // Done, also if that fails.
   void withdraw(std::function<void()> Done);
 
 private:
--- a/packages/flowd/include/burdockstream/flowd/WatchedPrefix.h
+++ b/packages/flowd/include/burdockstream/flowd/WatchedPrefix.h
@@ -29,10 +29,9 @@
 
 class WatchedPrefix {
 public:
-  // Events may be late by Pause, see store::WatchRequest. Store must outlive
-  // the object.
+  // Events may be late by Pacing.Pause. Store must outlive the object.
   WatchedPrefix(store::Store &InitStore, std::string InitPrefix,
-                base::Duration InitPause, WatchHooks InitHooks);
+                store::WatchPacing InitPacing, WatchHooks InitHooks);
   ~WatchedPrefix();
   WatchedPrefix(const WatchedPrefix &) = delete;
   WatchedPrefix &operator=(const WatchedPrefix &) = delete;
@@ -40,6 +39,10 @@
   // Begins to read. Thread safety: loop thread only.
   void start();
 
+  // Calls Done once all changes made before this call have been reported. It
+  // is not called if the store is lost. Thread safety: loop thread only.
+  void catchUp(std::function<void()> Done);
+
   // Whether the last call succeeded. Thread safety: loop thread only.
   bool inStep() const { return InStep; }
 
@@ -52,9 +55,9 @@
 
   store::Store &Store;
   std::string Prefix;
-  base::Duration Pause;
+  store::WatchPacing Pacing;
   WatchHooks Hooks;
-  std::unique_ptr<http::HttpStream> Watch;
+  std::unique_ptr<store::Watch> Watch;
   bool InStep = false;
   base::Duration Delay = ShortestRetry;
   guint RetrySource = 0;
--- a/packages/flowd/src/AgentEntries.cpp
+++ b/packages/flowd/src/AgentEntries.cpp
@@ -12,6 +12,8 @@
   Json::Value Value;
   Value["service"] = Entry.Service;
   Value["failure_domain"] = Entry.FailureDomain;
+  if (Entry.Ended)
+    Value["ended"] = true;
   return base::compactJson(Value);
 }
 
@@ -37,7 +39,8 @@
                            std::string(Key) +
                                " is no agent's entry; remove it");
   return flows::AgentEntry{*Address, Root["service"].asString(),
-                           Root["failure_domain"].asString()};
+                           Root["failure_domain"].asString(),
+                           Root["ended"].isBool() && Root["ended"].asBool()};
 }
 
 } // namespace burdockstream::flowd
--- a/packages/flowd/src/AgentRegistration.cpp
+++ b/packages/flowd/src/AgentRegistration.cpp
@@ -97,11 +97,14 @@
     return Done();
   if (Timer != 0)
     g_source_remove(std::exchange(Timer, 0));
-  Store.endLease(std::exchange(Lease, store::NoLease),
-                 [Run = std::move(Done)](const base::Result<void> &) {
-                   // A lease that could not be ended expires by itself.
-                   Run();
-                 });
+  Entry.Ended = true;
+  const store::LeaseId Ending = std::exchange(Lease, store::NoLease);
+  // A lease that could not be ended expires by itself.
+  const auto EndLease = [this, Ending, Run = std::move(Done)] {
+    Store.endLease(Ending, [Run](const base::Result<void> &) { Run(); });
+  };
+  Store.put({entryKey(Entry.Agent), entryValue(Entry), Ending},
+            guarded([EndLease](const base::Result<void> &) { EndLease(); }));
 }
 
 } // namespace burdockstream::flowd
--- a/packages/flowd/src/BalancerShell.cpp
+++ b/packages/flowd/src/BalancerShell.cpp
@@ -3,6 +3,7 @@
 #include "BootClock.h"
 #include "burdockstream/base/JsonText.h"
 #include "burdockstream/flowd/AgentEntries.h"
+#include "burdockstream/flowd/StorePacing.h"
 #include "burdockstream/network/LoopTimer.h"
 
 #include <utility>
@@ -26,12 +27,6 @@
 // down does not answer at all, and no flow is reset while a peer is asked.
 constexpr base::Duration PeerTimeout = std::chrono::milliseconds(250);
 
-// Changes often come in series, and each answer of the store costs a call. The
-// bound for routes to be in force is some seconds; a target that has just
-// started is slow anyway.
-constexpr base::Duration RoutesPause = std::chrono::milliseconds(500);
-constexpr base::Duration AgentsPause = std::chrono::milliseconds(1000);
-
 constexpr const char *StatePath = "/v1/state";
 
 } // namespace
@@ -45,6 +40,7 @@
       Core({Settings.FailureDomain, Settings.Control,
             Environment.Codec.HeaderBytes},
            coreHooks(), base::newRandomSource()),
+      Random(base::newRandomSource()),
       Store(Environment.OpenStore(Settings.Store)),
       Server([this](const http::ServerRequest &Request,
                     const std::shared_ptr<http::Responder> &Out) {
@@ -70,6 +66,11 @@
   Hooks.OnDecision = [this](const flows::FlowDecision &Decision) {
     Decisions.note(Decision, readClocks());
   };
+  Hooks.CatchUp = [this](flows::ViewPart Part) {
+    WatchedPrefix &Watched =
+        Part == flows::ViewPart::Routes ? *Routes : *Agents;
+    Watched.catchUp([this, Part] { Core.markCaughtUp(Part); });
+  };
   Hooks.OnNewerRoutes = [this](base::Revision Revision,
                                base::SocketAddress Control) {
     if (AskedRevision && *AskedRevision >= Revision)
@@ -128,7 +129,7 @@
   const base::TimePoint Now = readClocks().Monotonic;
   if (Event.Deleted) {
     if (const auto Agent = agentOfKey(Event.Entry.Key))
-      Core.unlistAgent(*Agent);
+      Core.unlistAgent(*Agent, Now);
     return;
   }
   const auto Entry = readEntry(Event.Entry.Key, Event.Entry.Value);
@@ -209,10 +210,15 @@
                    onFrame(Datagram, From);
                  });
   StartedAt = readClocks().Monotonic;
-  Routes = std::make_unique<WatchedPrefix>(*Store, Environment.RoutesKey,
-                                           RoutesPause, routesHooks());
-  Agents = std::make_unique<WatchedPrefix>(*Store, std::string(AgentPrefix),
-                                           AgentsPause, agentsHooks());
+  const auto Wait = [this] { return watchWait(Core.targets().size(), Random); };
+  Routes = std::make_unique<WatchedPrefix>(
+      *Store, Environment.RoutesKey,
+      store::WatchPacing{[] { return RoutesPause; }, Wait}, routesHooks());
+  Agents = std::make_unique<WatchedPrefix>(
+      *Store, std::string(AgentPrefix),
+      store::WatchPacing{[this] { return agentsPause(Core.targets().size()); },
+                         Wait},
+      agentsHooks());
   Routes->start();
   Agents->start();
   for (const base::SocketAddress Peer : Settings.Peers)
@@ -291,8 +297,9 @@
   State["revision"] = Json::Int64(Core.routesRevision());
   State["routes"] = RoutesText;
   State["agents"] = Json::arrayValue;
+  const base::TimePoint Now = readClocks().Monotonic;
   for (const auto &Each : Core.targets().all())
-    if (Each && Each->Heard && !Each->ServiceName.empty()) {
+    if (Each && !Each->ServiceName.empty() && !isLost(*Each, Now)) {
       Json::Value Entry;
       Entry["key"] = entryKey(Each->Agent);
       Entry["value"] =
--- a/packages/flowd/src/BalancerShell.h
+++ b/packages/flowd/src/BalancerShell.h
@@ -55,6 +55,7 @@
   base::Metrics Registry;
   DecisionLog Decisions;
   flows::FlowBalancer Core;
+  base::RandomSource Random;
   std::unique_ptr<store::Store> Store;
   std::unique_ptr<network::UdpSocket> Ingress;
   std::unique_ptr<network::UdpSocket> Frames;
--- a/packages/flowd/src/WatchedPrefix.cpp
+++ b/packages/flowd/src/WatchedPrefix.cpp
@@ -8,9 +8,10 @@
 namespace burdockstream::flowd {
 
 WatchedPrefix::WatchedPrefix(store::Store &InitStore, std::string InitPrefix,
-                             base::Duration InitPause, WatchHooks InitHooks)
-    : Store(InitStore), Prefix(std::move(InitPrefix)), Pause(InitPause),
-      Hooks(std::move(InitHooks)) {}
+                             store::WatchPacing InitPacing,
+                             WatchHooks InitHooks)
+    : Store(InitStore), Prefix(std::move(InitPrefix)),
+      Pacing(std::move(InitPacing)), Hooks(std::move(InitHooks)) {}
 
 WatchedPrefix::~WatchedPrefix() {
   if (RetrySource != 0)
@@ -36,7 +37,7 @@
   store::WatchRequest Request;
   Request.Prefix = Prefix;
   Request.StartRevision = Reply.value().StoreRevision + 1;
-  Request.Pause = Pause;
+  Request.Pacing = Pacing;
   Watch = Store.watch(
       Request,
       [this](const store::WatchEvent &Event) {
@@ -46,6 +47,11 @@
       [this](const base::Error &Reason) { onEnd(Reason); });
 }
 
+void WatchedPrefix::catchUp(std::function<void()> Done) {
+  if (Watch && InStep)
+    Watch->catchUp(std::move(Done));
+}
+
 void WatchedPrefix::onEnd(const base::Error &Reason) { retry(Reason); }
 
 void WatchedPrefix::setInStep() {
--- a/packages/flowd/test/ReportsTest.cpp
+++ b/packages/flowd/test/ReportsTest.cpp
@@ -39,9 +39,9 @@
   void endLease(store::LeaseId, store::DoneCallback Callback) override {
     Callback(down());
   }
-  std::unique_ptr<http::HttpStream> watch(const store::WatchRequest &,
-                                          store::WatchCallback,
-                                          store::WatchEndCallback) override {
+  std::unique_ptr<store::Watch> watch(const store::WatchRequest &,
+                                      store::WatchCallback,
+                                      store::WatchEndCallback) override {
     return nullptr;
   }
   const store::CallCounters &counters() const override { return Calls; }
--- a/packages/flows/include/burdockstream/flows/FlowBalancer.h
+++ b/packages/flows/include/burdockstream/flows/FlowBalancer.h
@@ -3,17 +3,18 @@
 //
 // A flow that this balancer placed is in its table. For any other flow, because
 // the fabric has moved it here, the agents of its route's services are asked
-// first; the one whose target holds the flow delivers its packets. If none of
-// them does, all other agents are asked: an earlier configuration may have sent
-// the flow to any service, and no process has to remember it. A flow is reset
-// only if every agent that can answer has said that its target does not hold
-// it.
+// first, those of its own failure domain before others; the one whose target
+// holds the flow delivers its packets. If none of them does, all other agents
+// are asked: an earlier configuration may have sent the flow to any service,
+// and no process has to remember it. A flow is reset only if every agent that
+// can answer has said that its target does not hold it.
 #ifndef BURDOCKSTREAM_FLOWS_FLOWBALANCER_H
 #define BURDOCKSTREAM_FLOWS_FLOWBALANCER_H
 
 #include "burdockstream/base/Random.h"
 #include "burdockstream/flows/AgingMap.h"
 #include "burdockstream/flows/FlowDecision.h"
+#include "burdockstream/flows/Greeting.h"
 #include "burdockstream/flows/Packet.h"
 #include "burdockstream/flows/ParkedPackets.h"
 #include "burdockstream/flows/Placement.h"
@@ -29,6 +30,10 @@
 
 namespace burdockstream::flows {
 
+// What a balancer reads from the store.
+enum class ViewPart : uint8_t { Routes, Agents };
+inline constexpr size_t ViewParts = 2;
+
 struct BalancerHooks {
   std::function<void(base::SocketAddress Agent, const FrameHeader &,
                      std::span<const uint8_t> Body)>
@@ -36,6 +41,10 @@
   std::function<void(const FlowKey &, uint32_t Sequence)> SendReset;
   // For logs and metrics; may be empty.
   std::function<void(const FlowDecision &)> OnDecision;
+  // Asks for everything that the store has now of a part of the view;
+  // markCaughtUp() follows, unless the store is lost. Where it is empty the
+  // view counts as caught up always.
+  std::function<void(ViewPart)> CatchUp;
   // An agent knows of newer routes, which the balancer at Control has.
   std::function<void(base::Revision, base::SocketAddress Control)>
       OnNewerRoutes;
@@ -56,13 +65,19 @@
   size_t PacketHeaderBytes = 0;
 };
 
-// How often agents are told that this balancer exists.
+// How often the agents that it greets are told that this balancer exists.
 inline constexpr base::Duration HelloInterval = std::chrono::milliseconds(800);
 
-// A view of the agents counts as settled when it has not changed for this long;
-// only then the answers of all agents prove that a flow is not held.
+// After an outage in which entries lapsed the list fills again; it counts as
+// settled when it has not changed for this long. Only then the answers of all
+// agents prove that a flow is not held.
 inline constexpr base::Duration SettleTime = std::chrono::seconds(1);
 
+// An entry that appears later than this after the first list is that of an
+// agent that has just started: all that lapsed are back. Otherwise a fleet in
+// which targets are replaced all the time would never be settled.
+inline constexpr base::Duration ListLearningTime = std::chrono::seconds(6);
+
 // The first list is complete, but for agents that register just then.
 inline constexpr base::Duration FirstSettleTime =
     std::chrono::milliseconds(150);
@@ -71,11 +86,21 @@
 // packet of the flow starts another one.
 inline constexpr base::Duration SearchLife = std::chrono::milliseconds(1500);
 
+// How often it is decided anew which agents are greeted: an agent that has
+// registered gets flows after at most this and a round trip.
+inline constexpr base::Duration GreetedInterval =
+    std::chrono::milliseconds(200);
+
 // An answer to a search may be lost, and an agent may be starting: those that
 // have not answered are asked again after this, then after twice the time, and
 // so on. Between failure domains an answer takes about 20 ms.
 inline constexpr base::Duration ReaskTime = std::chrono::milliseconds(60);
 
+// While agents are silent the store is asked this often at most whether they
+// have left.
+inline constexpr base::Duration LeftCheckInterval =
+    std::chrono::milliseconds(500);
+
 // An agent that counts as lost may only be unheard: after a restart it does not
 // know this balancer until the next hello. It is asked too, and no flow is
 // reset before it has had this long to answer, several times a round trip.
@@ -92,6 +117,13 @@
 inline constexpr double SearchFramesPerSecond = 6000;
 inline constexpr double SearchFrameBurst = 600;
 
+// Whom a search asks, one stage after the other.
+enum class SearchStage : uint8_t {
+  Near,    // targets of the route's services in the balancer's failure domain
+  Service, // all of the route's services
+  All,     // all that there are
+};
+
 // If the loop stood still for longer, the silence of agents proves nothing.
 inline constexpr base::Duration StallLimit = std::chrono::milliseconds(400);
 
@@ -113,7 +145,7 @@
   // Takes the store's list of agents, whole or one change of it.
   void setAgents(const std::vector<AgentEntry> &Entries, base::TimePoint Now);
   void listAgent(const AgentEntry &Entry, base::TimePoint Now);
-  void unlistAgent(base::SocketAddress Agent);
+  void unlistAgent(base::SocketAddress Agent, base::TimePoint Now);
 
   // Takes an agent that a peer knows. It stays in use if it answers.
   void suggestAgent(const AgentEntry &Entry, base::TimePoint Now);
@@ -126,6 +158,9 @@
   // Whether the store answers, so that routes and list are the newest.
   void setStoreFresh(bool Fresh);
 
+  // Part has all that the store had when CatchUp was called for it.
+  void markCaughtUp(ViewPart Part);
+
   // A client's packet from the fabric.
   void onClientPacket(const Packet &Packet, base::TimePoint Now);
 
@@ -163,13 +198,19 @@
     uint8_t Refusals = 0;   // offers that came back
     bool MayBeOpen = false; // another balancer may have offered it
   };
+  // How new a part of the view is.
+  struct ViewAge {
+    base::TimePoint CaughtUpAt{}; // it has all that was stored then
+    base::TimePoint AskedAt{};
+    bool CatchingUp = false;
+  };
   // Agents that have yet to answer whether their target holds a flow.
   struct Search {
     base::TimePoint Started;
     std::vector<TargetIndex> Asked;  // all, whether they have answered or not
     std::vector<TargetIndex> Open;   // those that are waited for
     std::vector<TargetIndex> Unsure; // of Open: those that try the packets
-    bool AskedAll = false;           // not only the likely holders
+    SearchStage Stage = SearchStage::Near;
     base::TimePoint LostMayAnswerUntil{}; // see LostAnswerTime
     uint32_t Acknowledged = 0;            // newest of the client
     // What the client sent meanwhile, for the agent that holds the flow.
@@ -190,15 +231,19 @@
                FrameKind Kind = FrameKind::Forward);
   void search(const Packet &Packet, TargetIndex Excluded, base::TimePoint Now);
   bool admitSearch(size_t Asked, base::TimePoint Now);
-  std::vector<TargetIndex> likelyHolders(const Route &Route) const;
-  std::vector<TargetIndex> notAsked(const Search &Running) const;
+  std::vector<TargetIndex> holdersOf(SearchStage Stage,
+                                     const FlowKey &Flow) const;
+  std::vector<TargetIndex> notAsked(const Search &Running,
+                                    const FlowKey &Flow) const;
   void ask(Search &Running, const std::vector<TargetIndex> &Holders,
            std::span<const uint8_t> Header, base::TimePoint Now);
-  bool askAll(Search &Running, base::TimePoint Now);
-  bool isAnswered(Search &Running, base::TimePoint Now);
+  bool askNextStage(Search &Running, const FlowKey &Flow, base::TimePoint Now);
+  bool isAnswered(Search &Running, const FlowKey &Flow, base::TimePoint Now);
   std::span<const uint8_t> headerOf(const Packet &Packet) const;
   void askAgain(base::TimePoint Now);
+  void askAgain(Search &Running, const FlowKey &Flow, base::TimePoint Now);
   void sendSearches();
+  void stopWaiting(Search &Running, base::TimePoint Now);
   void askSilent(Search &Running, base::TimePoint Now);
   void expireSearches(base::TimePoint Now);
   void park(const Packet &Packet, WaitFor Reason);
@@ -206,6 +251,8 @@
   void replay(WaitFor Reason, base::TimePoint Now);
   void sendKept(Search &Running, TargetIndex Index, FrameKind Kind);
   void finishSearch(const FlowKey &Flow, Search &Done, base::TimePoint Now);
+  void addUnheard(base::ServiceId Service, const FlowEntry &Entry,
+                  double Distance);
   void onReturned(TargetIndex Agent, ReturnReason Reason, const Packet &Packet,
                   base::TimePoint Now);
   void onUnsure(TargetIndex Agent, const FlowKey &Flow);
@@ -214,6 +261,8 @@
   void refuse(const Packet &Packet, DecisionKind Kind, size_t Candidates);
   void sendHellos(base::TimePoint Now);
   bool isSettled(base::TimePoint Now) const;
+  bool isCaughtUp(ViewPart Part, base::TimePoint Since, base::TimePoint Now);
+  void noteListChange(base::TimePoint Now);
   void decide(DecisionKind Kind, const FlowKey &Flow, TargetIndex Index,
               size_t Candidates, base::TimePoint Now);
 
@@ -239,9 +288,11 @@
   bool StoreFresh = false;
   bool ListKnown = false;
   bool PeersAsked = true;
+  base::TimePoint ListKnownSince{};
   base::TimePoint LastListChange{};
+  std::array<ViewAge, ViewParts> ViewAges;
   base::TimePoint LastTick{};
-  base::TimePoint NextHello{};
+  base::TimePoint NextGreeted{};
   base::TimePoint NextAging{};
 };
 
--- a/packages/flows/include/burdockstream/flows/FlowKey.h
+++ b/packages/flows/include/burdockstream/flows/FlowKey.h
@@ -23,16 +23,21 @@
   return base::toString(Key.Client) + ">" + base::toString(Key.Service);
 }
 
-// Mixes both ends into 64 bits (finalizer of SplitMix64). Thread safety: any
-// thread.
-inline uint64_t hashOf(const FlowKey &Key) {
-  uint64_t Value = base::packAddress(Key.Client) * 0x9E3779B97F4A7C15ULL ^
-                   base::packAddress(Key.Service);
+// Mixes two addresses into 64 bits (finalizer of SplitMix64). Thread safety:
+// any thread.
+inline uint64_t hashOf(base::SocketAddress First, base::SocketAddress Second) {
+  uint64_t Value = base::packAddress(First) * 0x9E3779B97F4A7C15ULL ^
+                   base::packAddress(Second);
   Value = (Value ^ (Value >> 30)) * 0xBF58476D1CE4E5B9ULL;
   Value = (Value ^ (Value >> 27)) * 0x94D049BB133111EBULL;
   return Value ^ (Value >> 31);
 }
 
+// Thread safety: any thread.
+inline uint64_t hashOf(const FlowKey &Key) {
+  return hashOf(Key.Client, Key.Service);
+}
+
 } // namespace burdockstream::flows
 
 template <> struct std::hash<burdockstream::flows::FlowKey> {
--- a/packages/flows/include/burdockstream/flows/TargetTable.h
+++ b/packages/flows/include/burdockstream/flows/TargetTable.h
@@ -25,6 +25,9 @@
   base::SocketAddress Agent;
   std::string Service;
   std::string FailureDomain;
+  // The agent has seen its target end and is leaving: the target's flows are
+  // gone. Where an entry only vanishes, nobody knows.
+  bool Ended = false;
 
   friend bool operator==(const AgentEntry &, const AgentEntry &) = default;
 };
@@ -35,8 +38,15 @@
   std::string ServiceName; // as listed; empty if the agent never was
   std::string FailureDomain;
   bool Listed = false;
+  base::TimePoint UnlistedAt{};
   bool Heard = false;        // whether a status has arrived
   base::TimePoint LastHeard; // of the last status; before the first, of listing
+  // A greeted agent sends statuses; the silence of another one means nothing.
+  bool Greeted = false;
+  base::TimePoint GreetedSince{};
+  base::TimePoint NextHello{};
+  base::TimePoint
+      LastNeeded{}; // a flow of its target passed, or it was awaited
   TargetStatus Status;
   uint32_t Unreported = 0; // flows placed since the last status
 };
@@ -52,8 +62,9 @@
 // platform's grace period and a start.
 inline constexpr base::Duration RestartTime = std::chrono::seconds(9);
 
-// A listed agent that was never heard counts as lost after this: it may be
-// starting, which takes less than a second.
+// A greeted agent that was never heard counts as lost after this: it may be
+// starting, or restarting without the balancer having heard that it would, for
+// which it is silent for about 0.7 s.
 inline constexpr base::Duration NeverHeard = std::chrono::milliseconds(1500);
 
 // A status that is not followed by another for this long, from an agent that is
@@ -66,9 +77,10 @@
   // Takes the whole list of the store. Returns whether it differs.
   bool setList(const std::vector<AgentEntry> &Entries, base::TimePoint Now);
 
-  // Takes one change of the list. Returns whether it is one.
+  // Takes one change of the list. Returns whether it names another agent, or
+  // another service of one.
   bool list(const AgentEntry &Entry, base::TimePoint Now);
-  void unlist(base::SocketAddress Agent);
+  void unlist(base::SocketAddress Agent, base::TimePoint Now);
 
   // Takes a status; one that is older than a known one is ignored. Returns the
   // target if the status was news.
@@ -94,6 +106,11 @@
   // Targets of a service, dropped ones excluded.
   const std::vector<TargetIndex> &ofService(base::ServiceId Service) const;
 
+  const std::unordered_map<base::ServiceId, std::vector<TargetIndex>> &
+  services() const {
+    return ByService;
+  }
+
   const std::vector<std::unique_ptr<Target>> &all() const { return Targets; }
   size_t size() const { return ByAgent.size(); }
 
@@ -110,8 +127,8 @@
 // Whether Target may get new flows. Thread safety: any thread.
 bool takesFlows(const Target &Target, base::TimePoint Now);
 
-// Whether the agent of Target is lost: it is silent although it did not
-// announce a restart. Thread safety: any thread.
+// Whether the agent of Target is lost: it is greeted and silent although it did
+// not announce a restart. Thread safety: any thread.
 bool isLost(const Target &Target, base::TimePoint Now);
 
 } // namespace burdockstream::flows
--- a/packages/flows/src/FlowBalancer.cpp
+++ b/packages/flows/src/FlowBalancer.cpp
@@ -17,40 +17,71 @@
   Routes = std::move(Table);
   RoutesSince = Now;
   News = true;
-  NextHello = Now; // agents learn the revision at once
+  for (const auto &Each : Targets.all()) // agents learn the revision at once
+    if (Each)
+      Each->NextHello = Now;
   return true;
 }
 
 void FlowBalancer::setAgents(const std::vector<AgentEntry> &Entries,
                              base::TimePoint Now) {
-  const bool First = !std::exchange(ListKnown, true);
-  if (Targets.setList(Entries, Now))
-    LastListChange = First ? Now - SettleTime + FirstSettleTime : Now;
-  NextHello = Now;
+  const bool Changed = Targets.setList(Entries, Now);
+  if (!std::exchange(ListKnown, true)) {
+    ListKnownSince = Now;
+    LastListChange = Now - SettleTime + FirstSettleTime;
+  } else if (Changed) {
+    noteListChange(Now);
+  }
+}
+
+void FlowBalancer::noteListChange(base::TimePoint Now) {
+  if (Now - ListKnownSince <= ListLearningTime)
+    LastListChange = Now;
 }
 
 void FlowBalancer::listAgent(const AgentEntry &Entry, base::TimePoint Now) {
-  if (!Targets.list(Entry, Now))
-    return;
-  LastListChange = Now;
-  NextHello = Now;
+  if (Targets.list(Entry, Now))
+    noteListChange(Now);
 }
 
-void FlowBalancer::unlistAgent(base::SocketAddress Agent) {
-  Targets.unlist(Agent);
+void FlowBalancer::unlistAgent(base::SocketAddress Agent, base::TimePoint Now) {
+  Targets.unlist(Agent, Now);
 }
 
 void FlowBalancer::suggestAgent(const AgentEntry &Entry, base::TimePoint Now) {
   if (Targets.indexOf(Entry.Agent) != NoTarget)
     return;
   Targets.list(Entry, Now);
-  Targets.unlist(Entry.Agent);
-  LastListChange = NextHello = Now;
+  Targets.unlist(Entry.Agent, Now);
+  LastListChange = Now;
 }
 
 void FlowBalancer::setStoreFresh(bool Fresh) {
   News = News || Fresh;
   StoreFresh = Fresh;
+  for (ViewAge &Each : ViewAges)
+    Each.CatchingUp = Each.CatchingUp && Fresh;
+}
+
+// Whether Part has all that was stored at Since. If not, asks for it.
+bool FlowBalancer::isCaughtUp(ViewPart Part, base::TimePoint Since,
+                              base::TimePoint Now) {
+  ViewAge &Age = ViewAges[static_cast<size_t>(Part)];
+  if (!Hooks.CatchUp || Age.CaughtUpAt >= Since)
+    return true;
+  if (!Age.CatchingUp && StoreFresh) {
+    Age.CatchingUp = true;
+    Age.AskedAt = Now;
+    Hooks.CatchUp(Part); // may end at once
+  }
+  return Age.CaughtUpAt >= Since;
+}
+
+void FlowBalancer::markCaughtUp(ViewPart Part) {
+  ViewAge &Age = ViewAges[static_cast<size_t>(Part)];
+  Age.CaughtUpAt = Age.AskedAt;
+  Age.CatchingUp = false;
+  News = true;
 }
 
 void FlowBalancer::onClientPacket(const Packet &Packet, base::TimePoint Now) {
@@ -78,7 +109,7 @@
 void FlowBalancer::open(const Packet &Packet, base::TimePoint Now) {
   const Route *Route = Routes ? Routes->find(Packet.Flow) : nullptr;
   if (!Route) {
-    if (Routes && StoreFresh)
+    if (Routes && StoreFresh && isCaughtUp(ViewPart::Routes, ArrivedAt, Now))
       return refuse(Packet, DecisionKind::RefusedNoRoute, 0);
     park(Packet, WaitFor::Knowledge);
     return decide(DecisionKind::DroppedNoRoute, Packet.Flow, NoTarget, 0, Now);
@@ -108,6 +139,22 @@
                        Each.FailureDomain == Self.FailureDomain ? 0 : Distance,
                        Each.Status.WarmupMs > 0});
   }
+  if (Choices.empty())
+    addUnheard(Service, Entry, Distance);
+}
+
+// Load pattern: all targets that this balancer hears of are full or leaving,
+// while others of the service may have room. Their agents decide.
+void FlowBalancer::addUnheard(base::ServiceId Service, const FlowEntry &Entry,
+                              double Distance) {
+  const auto Offered = Entry.Offered.begin();
+  for (const TargetIndex Index : Targets.ofService(Service)) {
+    const Target &Each = *Targets.at(Index);
+    if (Each.Listed && !Each.Greeted &&
+        std::find(Offered, Offered + Entry.Offers, Index) ==
+            Offered + Entry.Offers)
+      Choices.push_back({Index, 1, 0, Each.Unreported, 0, Distance, false});
+  }
 }
 
 void FlowBalancer::place(const Packet &Packet, const Route &Route,
@@ -134,7 +181,8 @@
       forward(Packet, Entry.Target, &Route);
     return;
   }
-  if (!Entry.MayBeOpen && isSettled(Now))
+  if (!Entry.MayBeOpen && isSettled(Now) &&
+      isCaughtUp(ViewPart::Agents, ArrivedAt, Now))
     return refuse(Packet, DecisionKind::RefusedNoTarget,
                   Targets.ofService(Service).size());
   Entry.Offers = Entry.Refusals = 0; // the next try starts over
@@ -145,7 +193,8 @@
 
 void FlowBalancer::forward(const Packet &Packet, TargetIndex Index,
                            const Route *Route, FrameKind Kind) {
-  const Target &To = *Targets.at(Index);
+  Target &To = *Targets.at(Index);
+  To.LastNeeded = LastTick;
   FrameHeader Header;
   Header.Kind = Kind;
   Header.WorkClass =
@@ -185,8 +234,7 @@
   replayParked(Now);
   Batching = false;
   sendSearches();
-  if (Now >= NextHello)
-    sendHellos(Now);
+  sendHellos(Now);
   if (Now >= NextAging) {
     Flows.age([](const FlowKey &, const FlowEntry &) {});
     NextAging =
@@ -195,16 +243,25 @@
 }
 
 void FlowBalancer::sendHellos(base::TimePoint Now) {
+  if (Now >= NextGreeted) {
+    chooseGreeted(Targets,
+                  {Self.Control, Self.FailureDomain,
+                   ListKnown ? std::optional(ListKnownSince) : std::nullopt},
+                  Now);
+    NextGreeted = Now + GreetedInterval;
+  }
   FrameHeader Header;
   Header.Kind = FrameKind::Hello;
   Header.Routes = routesRevision();
   const auto Listed = packHello({Self.Control, false, Self.FailureDomain});
   const auto Missing =
       packHello({Self.Control, isSettled(Now), Self.FailureDomain});
-  for (const auto &Each : Targets.all())
-    if (Each)
-      Hooks.SendFrame(Each->Agent, Header, Each->Listed ? Listed : Missing);
-  NextHello = Now + HelloInterval;
+  for (const auto &Each : Targets.all()) {
+    if (!Each || !Each->Greeted || Now < Each->NextHello)
+      continue;
+    Hooks.SendFrame(Each->Agent, Header, Each->Listed ? Listed : Missing);
+    Each->NextHello = Now + HelloInterval;
+  }
 }
 
 bool FlowBalancer::canServe(base::TimePoint Now) const {
--- a/packages/flows/src/FlowSearch.cpp
+++ b/packages/flows/src/FlowSearch.cpp
@@ -5,30 +5,38 @@
 
 namespace burdockstream::flows {
 
-// Targets of the services that Route has, or had in earlier revisions that this
-// process knows of.
-std::vector<TargetIndex>
-FlowBalancer::likelyHolders(const Route &Route) const {
+// The targets that Stage asks, those of earlier stages included.
+std::vector<TargetIndex> FlowBalancer::holdersOf(SearchStage Stage,
+                                                 const FlowKey &Flow) const {
   std::vector<TargetIndex> Result;
+  const Route *Route = Routes ? Routes->find(Flow) : nullptr;
+  if (Stage == SearchStage::All || !Route) {
+    for (TargetIndex Index = 0; Index < Targets.all().size(); ++Index)
+      if (Targets.at(Index))
+        Result.push_back(Index);
+    return Result;
+  }
   const auto Add = [&](base::ServiceId Service) {
-    const auto &Some = Targets.ofService(Service);
-    Result.insert(Result.end(), Some.begin(), Some.end());
+    for (const TargetIndex Index : Targets.ofService(Service))
+      if (Stage == SearchStage::Service ||
+          Targets.at(Index)->FailureDomain == Self.FailureDomain)
+        Result.push_back(Index);
   };
-  for (const base::ServiceId Service : Route.Former)
+  // Former are the services of earlier revisions that this process knows of.
+  for (const base::ServiceId Service : Route->Former)
     Add(Service);
-  for (const WeightedService &Each : Route.Services)
+  for (const WeightedService &Each : Route->Services)
     Add(Each.Service);
   return Result;
 }
 
-std::vector<TargetIndex> FlowBalancer::notAsked(const Search &Running) const {
+std::vector<TargetIndex> FlowBalancer::notAsked(const Search &Running,
+                                                const FlowKey &Flow) const {
   std::vector<bool> Asked(Targets.all().size());
   for (const TargetIndex Index : Running.Asked)
     Asked[Index] = true;
-  std::vector<TargetIndex> Result;
-  for (TargetIndex Index = 0; Index < Asked.size(); ++Index)
-    if (Targets.at(Index) && !Asked[Index])
-      Result.push_back(Index);
+  std::vector<TargetIndex> Result = holdersOf(Running.Stage, Flow);
+  std::erase_if(Result, [&](TargetIndex Index) { return Asked[Index]; });
   return Result;
 }
 
@@ -36,7 +44,8 @@
                           base::TimePoint Now) {
   const Route *Route = Routes ? Routes->find(Packet.Flow) : nullptr;
   if (!Route) {
-    if (!Routes || !StoreFresh) {
+    if (!Routes || !StoreFresh ||
+        !isCaughtUp(ViewPart::Routes, ArrivedAt, Now)) {
       park(Packet, WaitFor::Knowledge);
       return decide(DecisionKind::DroppedNoRoute, Packet.Flow, NoTarget, 0,
                     Now);
@@ -46,13 +55,13 @@
   }
   auto Found = Searches.find(Packet.Flow);
   if (Found == Searches.end()) {
-    auto Holders = likelyHolders(*Route);
-    if (!admitSearch(Holders.size(), Now))
-      return park(Packet, WaitFor::SearchBudget);
     if (Targets.size() == 0) { // an empty list proves nothing
       park(Packet, WaitFor::Knowledge);
       return decide(DecisionKind::Unsettled, Packet.Flow, NoTarget, 0, Now);
     }
+    auto Holders = holdersOf(SearchStage::Near, Packet.Flow);
+    if (!admitSearch(Holders.size(), Now))
+      return park(Packet, WaitFor::SearchBudget);
     Found = Searches.try_emplace(Packet.Flow).first;
     Search &New = Found->second;
     New.Started = Now;
@@ -89,8 +98,8 @@
   return true;
 }
 
-// Asks Holders for the flow of Header. One that counts as lost is asked too, but
-// is waited for no longer than LostAnswerTime.
+// Asks Holders for the flow of Header. One that counts as lost is asked too,
+// but is waited for no longer than LostAnswerTime.
 void FlowBalancer::ask(Search &Running, const std::vector<TargetIndex> &Holders,
                        std::span<const uint8_t> Header, base::TimePoint Now) {
   for (const TargetIndex Index : Holders) {
@@ -109,26 +118,39 @@
     sendSearches();
 }
 
-// Asks the agents that were not asked yet, of whatever service. Returns false
-// if there is no room for it now.
-bool FlowBalancer::askAll(Search &Running, base::TimePoint Now) {
-  const auto Others = notAsked(Running);
-  if (!admitSearch(Others.size(), Now))
+// Asks the agents of the next stage; in the last one, those that have appeared
+// since. Returns false if there is no room for it now.
+bool FlowBalancer::askNextStage(Search &Running, const FlowKey &Flow,
+                                base::TimePoint Now) {
+  const SearchStage Before = Running.Stage;
+  Running.Stage =
+      Before == SearchStage::Near ? SearchStage::Service : SearchStage::All;
+  const auto Others = notAsked(Running, Flow);
+  if (!admitSearch(Others.size(), Now)) {
+    Running.Stage = Before;
     return false;
-  Running.AskedAll = true;
+  }
   const Packet Newest = Running.Kept.back().packet();
   ask(Running, Others, headerOf(Newest), Now);
   return true;
 }
 
-// Whether all agents have answered that their targets do not hold the flow. If
-// only the likely holders have, the others are asked.
-bool FlowBalancer::isAnswered(Search &Running, base::TimePoint Now) {
-  if (!Running.Open.empty())
+// Whether all agents have answered that their targets do not hold the flow.
+// Where only those of one stage have, the next ones are asked.
+bool FlowBalancer::isAnswered(Search &Running, const FlowKey &Flow,
+                              base::TimePoint Now) {
+  while (Running.Open.empty() && Running.Stage != SearchStage::All)
+    if (!askNextStage(Running, Flow, Now))
+      return false;
+  if (!Running.Open.empty() || Now < Running.LostMayAnswerUntil)
     return false;
-  if (!Running.AskedAll && (!askAll(Running, Now) || !Running.Open.empty()))
+  if (!StoreFresh)
+    return true; // no reset follows
+  // Another balancer may have read of an agent before this one has.
+  if (!isCaughtUp(ViewPart::Agents, Running.Started, Now) ||
+      !askNextStage(Running, Flow, Now))
     return false;
-  return Now >= Running.LostMayAnswerUntil;
+  return Running.Open.empty() && Now >= Running.LostMayAnswerUntil;
 }
 
 std::span<const uint8_t> FlowBalancer::headerOf(const Packet &Packet) const {
@@ -140,12 +162,23 @@
   Batch.flush(routesRevision(), Hooks.SendFrame);
 }
 
+// Ends the wait for agents that have left, or that never said a word. One that
+// has fallen silent since the search began is waited for all the same: its
+// silence may be the balancer's own.
+void FlowBalancer::stopWaiting(Search &Running, base::TimePoint Now) {
+  std::erase_if(Running.Open, [&](TargetIndex Index) {
+    const Target *Silent = Targets.at(Index);
+    return !Silent || (!Silent->Heard && isLost(*Silent, Now));
+  });
+}
+
 void FlowBalancer::askSilent(Search &Running, base::TimePoint Now) {
   if (!admitSearch(Running.Open.size(), Now))
     return;
   const Packet Newest = Running.Kept.back().packet();
   for (const TargetIndex Index : Running.Open) {
-    const Target &Silent = *Targets.at(Index);
+    Target &Silent = *Targets.at(Index);
+    Silent.LastNeeded = Now; // it is greeted, so that its loss is noticed
     Batch.add(Silent.Agent, Silent.Service, headerOf(Newest));
   }
 }
@@ -153,22 +186,11 @@
 void FlowBalancer::askAgain(base::TimePoint Now) {
   std::vector<FlowKey> Answered;
   for (auto &[Flow, Running] : Searches) {
-    if (Now < Running.NextAsk)
-      continue;
-    Running.AskInterval *= 2;
-    Running.NextAsk = Now + Running.AskInterval;
-    // An agent that has fallen silent since is waited for all the same: its
-    // silence may be the balancer's own.
-    std::erase_if(Running.Open,
-                  [&](TargetIndex Index) { return !Targets.at(Index); });
-    if (Running.Open.empty()) {
-      if (isAnswered(Running, Now))
-        Answered.push_back(Flow);
-      continue;
-    }
-    askSilent(Running, Now);
-    decide(DecisionKind::AskedAgain, Flow, Running.Open.front(),
-           Running.Open.size(), Now);
+    stopWaiting(Running, Now);
+    if (isAnswered(Running, Flow, Now))
+      Answered.push_back(Flow);
+    else if (!Running.Open.empty() && Now >= Running.NextAsk)
+      askAgain(Running, Flow, Now);
   }
   for (const FlowKey &Flow : Answered) {
     auto Done = Searches.extract(Flow);
@@ -176,16 +198,36 @@
   }
 }
 
+void FlowBalancer::askAgain(Search &Running, const FlowKey &Flow,
+                            base::TimePoint Now) {
+  Running.AskInterval *= 2;
+  Running.NextAsk = Now + Running.AskInterval;
+  // The store may know that silent agents have left.
+  isCaughtUp(ViewPart::Agents, Now - LeftCheckInterval, Now);
+  askSilent(Running, Now);
+  // It takes time to prove that silent agents are lost; the others are asked
+  // meanwhile.
+  while (Running.Stage != SearchStage::All && askNextStage(Running, Flow, Now))
+    ;
+  decide(DecisionKind::AskedAgain, Flow, Running.Open.front(),
+         Running.Open.size(), Now);
+}
+
 void FlowBalancer::expireSearches(base::TimePoint Now) {
-  std::erase_if(Searches, [&](const auto &Each) {
-    const Search &Running = Each.second;
-    if (Now - Running.Started <= SearchLife)
-      return false;
-    decide(DecisionKind::SearchExpired, Each.first,
+  for (auto Each = Searches.begin(); Each != Searches.end();) {
+    Search &Running = Each->second;
+    if (Now - Running.Started <= SearchLife) {
+      ++Each;
+      continue;
+    }
+    decide(DecisionKind::SearchExpired, Each->first,
            Running.Open.empty() ? NoTarget : Running.Open.front(),
            Running.Open.size(), Now);
-    return true;
-  });
+    // The next search knows whether the silent agents are lost.
+    ArrivedAt = Running.NewestArrivedAt;
+    park(Running.Kept.back().packet(), WaitFor::SettledView);
+    Each = Searches.erase(Each);
+  }
 }
 
 void FlowBalancer::sendKept(Search &Running, TargetIndex Index,
@@ -283,7 +325,7 @@
     return;
   std::erase(Found->second.Open, Agent);
   std::erase(Found->second.Unsure, Agent);
-  if (!isAnswered(Found->second, Now))
+  if (!isAnswered(Found->second, Flow, Now))
     return; // tick() ends the search
   auto Done = Searches.extract(Found);
   finishSearch(Flow, Done.mapped(), Now);
--- a/packages/flows/src/TargetTable.cpp
+++ b/packages/flows/src/TargetTable.cpp
@@ -15,13 +15,18 @@
   }
   for (const auto &Known : Targets)
     if (Known && Known->Listed && Present.count(Known->Agent) == 0) {
-      Known->Listed = false;
+      unlist(Known->Agent, Now);
       Changed = true;
     }
   return Changed;
 }
 
 bool TargetTable::list(const AgentEntry &Entry, base::TimePoint Now) {
+  if (Entry.Ended) {
+    if (const TargetIndex Index = indexOf(Entry.Agent); Index != NoTarget)
+      drop(Index);
+    return false;
+  }
   const bool IsNew = indexOf(Entry.Agent) == NoTarget;
   Target &Known = add(Entry.Agent, Now);
   const bool Changed = IsNew || Known.ServiceName != Entry.Service;
@@ -34,9 +39,12 @@
   return Changed;
 }
 
-void TargetTable::unlist(base::SocketAddress Agent) {
-  if (Target *Known = at(indexOf(Agent)))
-    Known->Listed = false;
+void TargetTable::unlist(base::SocketAddress Agent, base::TimePoint Now) {
+  Target *Known = at(indexOf(Agent));
+  if (!Known)
+    return;
+  Known->Listed = false;
+  Known->UnlistedAt = Now;
 }
 
 Target *TargetTable::update(base::SocketAddress Agent,
@@ -57,7 +65,8 @@
 void TargetTable::expire(base::TimePoint Now) {
   for (TargetIndex I = 0; I < Targets.size(); ++I)
     if (Targets[I] && !Targets[I]->Listed &&
-        Now - Targets[I]->LastHeard > UnlistedLife)
+        Now - std::max(Targets[I]->LastHeard, Targets[I]->UnlistedAt) >
+            UnlistedLife)
       drop(I);
 }
 
@@ -110,7 +119,10 @@
 }
 
 bool isLost(const Target &Target, base::TimePoint Now) {
-  const base::Duration Silence = Now - Target.LastHeard;
+  if (!Target.Greeted)
+    return false;
+  const base::Duration Silence =
+      Now - std::max(Target.LastHeard, Target.GreetedSince);
   if (!Target.Heard)
     return Silence > NeverHeard;
   return Silence > (Target.Status.State == TargetState::Leaving ? RestartTime
--- a/packages/store/include/burdockstream/store/Store.h
+++ b/packages/store/include/burdockstream/store/Store.h
@@ -50,12 +50,29 @@
   KeyValue Entry;
 };
 
+// How often a watch calls the store, where it is a chain of calls that are paid
+// one by one. Each hook is asked anew each time and may be empty.
+struct WatchPacing {
+  // Events of this time after an event may come together.
+  std::function<base::Duration()> Pause = {};
+  // How long the store may hold a call without an event.
+  std::function<base::Duration()> Wait = {};
+};
+
 struct WatchRequest {
   std::string Prefix;
   base::Revision StartRevision = 0; // 0: from now on
-  // Events of this time after an event may come together, where the store
-  // charges for each answer.
-  base::Duration Pause{0};
+  WatchPacing Pacing = {};
+};
+
+// An open watch, which ends with the object. Thread safety: loop thread only.
+class Watch {
+public:
+  virtual ~Watch() = default;
+
+  // Calls Done once all changes that were made before this call have been
+  // reported. Done is not called if the watch ends before.
+  virtual void catchUp(std::function<void()> Done) = 0;
 };
 
 // Counts of calls as the store's rate limits count them.
@@ -105,9 +122,9 @@
   // Opens a watch, which lasts until the returned object is destroyed or OnEnd
   // is called. An error of kind NotFound at its end means that the history
   // since StartRevision is gone.
-  virtual std::unique_ptr<http::HttpStream> watch(const WatchRequest &Request,
-                                                  WatchCallback OnEvent,
-                                                  WatchEndCallback OnEnd) = 0;
+  virtual std::unique_ptr<Watch> watch(const WatchRequest &Request,
+                                       WatchCallback OnEvent,
+                                       WatchEndCallback OnEnd) = 0;
 
   virtual const CallCounters &counters() const = 0;
 };
--- a/packages/store/include/burdockstream/store/StoreClient.h
+++ b/packages/store/include/burdockstream/store/StoreClient.h
@@ -71,9 +71,9 @@
 
   // Opens a watch, which lasts until the returned object is destroyed or OnEnd
   // is called. Thread safety: loop thread only.
-  std::unique_ptr<http::HttpStream> watch(const WatchRequest &Request,
-                                          WatchCallback OnEvent,
-                                          WatchEndCallback OnEnd) override;
+  std::unique_ptr<Watch> watch(const WatchRequest &Request,
+                               WatchCallback OnEvent,
+                               WatchEndCallback OnEnd) override;
 
   const CallCounters &counters() const override { return Counters; }
 
--- a/packages/store/src/StoreClient.cpp
+++ b/packages/store/src/StoreClient.cpp
@@ -57,6 +57,18 @@
                        etcd::toKeyValue(Event["kv"])});
 }
 
+// A watch whose events come over one stream as they are made.
+class StreamWatch : public Watch {
+public:
+  explicit StreamWatch(std::unique_ptr<http::HttpStream> InitStream)
+      : Stream(std::move(InitStream)) {}
+
+  void catchUp(std::function<void()> Done) override { Done(); }
+
+private:
+  std::unique_ptr<http::HttpStream> Stream;
+};
+
 } // namespace
 
 StoreClient::StoreClient(std::vector<base::SocketAddress> InitEndpoints,
@@ -162,9 +174,9 @@
        });
 }
 
-std::unique_ptr<http::HttpStream>
-StoreClient::watch(const WatchRequest &Request, WatchCallback OnEvent,
-                   WatchEndCallback OnEnd) {
+std::unique_ptr<Watch> StoreClient::watch(const WatchRequest &Request,
+                                          WatchCallback OnEvent,
+                                          WatchEndCallback OnEnd) {
   ++Counters.Reads;
   Json::Value Create;
   Create["key"] = encodeBase64(Request.Prefix);
@@ -173,7 +185,7 @@
     Create["start_revision"] = std::to_string(Request.StartRevision);
   Json::Value Body;
   Body["create_request"] = Create;
-  return Client.streamJson(
+  return std::make_unique<StreamWatch>(Client.streamJson(
       {url("/v3/watch"), base::compactJson(Body), {}, Timeout},
       [Deliver = std::move(OnEvent)](const Json::Value &Answer) {
         deliverWatchAnswer(Answer, Deliver);
@@ -181,7 +193,7 @@
       [this, End = std::move(OnEnd)](base::Error Reason) {
         countFailure();
         End(std::move(Reason));
-      });
+      }));
 }
 
 } // namespace burdockstream::store
--- a/packages/store/test/WatchTest.cpp
+++ b/packages/store/test/WatchTest.cpp
@@ -5,7 +5,7 @@
 
 class WatchTest : public StoreFixture {
 protected:
-  std::unique_ptr<http::HttpStream> open(base::Revision Start) {
+  std::unique_ptr<Watch> open(base::Revision Start) {
     return Client.watch(
         {"/records/", Start},
         [this](const WatchEvent &Event) { Events.push_back(Event); },
