Pace the packets that unsure agents try

Cause: after a kill of all processes no agent knows its target's flows. A batch of searches brought an unsure answer of each agent for each flow, and each answer sent packets at once: more than a thousand datagrams into a queue of 256. Ruled out: asking silent agents again as the cause; it only added to the burst. Change: packets for unsure agents have a budget, wait in random order, and are dropped when the flow has been found; one without an answer is sent again. An agent that counted as lost and answers that it is unsure is waited for.

--- a/packages/flows/include/burdockstream/flows/FlowBalancer.h
+++ b/packages/flows/include/burdockstream/flows/FlowBalancer.h
@@ -14,6 +14,7 @@
 #include "burdockstream/base/Random.h"
 #include "burdockstream/flows/AgingMap.h"
 #include "burdockstream/flows/FlowDecision.h"
+#include "burdockstream/flows/FrameBudget.h"
 #include "burdockstream/flows/Greeting.h"
 #include "burdockstream/flows/Packet.h"
 #include "burdockstream/flows/ParkedPackets.h"
@@ -24,6 +25,7 @@
 
 #include <array>
 #include <functional>
+#include <map>
 #include <memory>
 #include <unordered_map>
 #include <vector>
@@ -117,6 +119,17 @@
 inline constexpr double SearchFramesPerSecond = 6000;
 inline constexpr double SearchFrameBurst = 600;
 
+// Load pattern: after a kill of all processes no agent knows which flows its
+// target holds, so each search gives a packet to many targets. Packets beyond
+// this many wait: a small VM's link and its socket's queue of 256 datagrams
+// would lose most of them.
+inline constexpr double TriesPerSecond = 2400;
+inline constexpr double TryBurst = 100;
+
+// A packet that an unsure agent got, or its answer, may be lost: it is sent
+// again when the agent has not answered for this long.
+inline constexpr base::Duration RetryTime = std::chrono::milliseconds(400);
+
 // Whom a search asks, one stage after the other.
 enum class SearchStage : uint8_t {
   Near,    // targets of the route's services in the balancer's failure domain
@@ -198,6 +211,11 @@
     uint8_t Refusals = 0;   // offers that came back
     bool MayBeOpen = false; // another balancer may have offered it
   };
+  // An unsure agent that is to try the packets of a flow.
+  struct PendingTry {
+    FlowKey Flow;
+    TargetIndex Agent = NoTarget;
+  };
   // How new a part of the view is.
   struct ViewAge {
     base::TimePoint CaughtUpAt{}; // it has all that was stored then
@@ -244,7 +262,7 @@
   void askAgain(Search &Running, const FlowKey &Flow, base::TimePoint Now);
   void sendSearches();
   void stopWaiting(Search &Running, base::TimePoint Now);
-  void askSilent(Search &Running, base::TimePoint Now);
+  void askSilent(Search &Running, const FlowKey &Flow, base::TimePoint Now);
   void expireSearches(base::TimePoint Now);
   void park(const Packet &Packet, WaitFor Reason);
   void replayParked(base::TimePoint Now);
@@ -255,7 +273,9 @@
                   double Distance);
   void onReturned(TargetIndex Agent, ReturnReason Reason, const Packet &Packet,
                   base::TimePoint Now);
-  void onUnsure(TargetIndex Agent, const FlowKey &Flow);
+  void onUnsure(TargetIndex Agent, const FlowKey &Flow, base::TimePoint Now);
+  static bool isUnsure(const Search &Running, TargetIndex Agent);
+  void sendTries(base::TimePoint Now);
   void onHeld(TargetIndex Agent, const FlowKey &Flow, base::TimePoint Now);
   void onNotHeld(TargetIndex Agent, const FlowKey &Flow, base::TimePoint Now);
   void refuse(const Packet &Packet, DecisionKind Kind, size_t Candidates);
@@ -275,8 +295,11 @@
   std::vector<Candidate> Choices; // a member, so that it keeps its memory
   AgingMap<FlowEntry> Flows;
   std::unordered_map<FlowKey, Search> Searches;
-  double SearchFrames = SearchFrameBurst; // that may be sent now
-  base::TimePoint SearchFramesAt{};
+  FrameBudget SearchFrames{SearchFramesPerSecond, SearchFrameBurst};
+  FrameBudget Tries{TriesPerSecond, TryBurst};
+  // In random order, so that the tries of one flow are far apart and most are
+  // needless by their turn: the flow has been found.
+  std::multimap<uint64_t, PendingTry> PendingTries;
   uint64_t DroppedSearches = 0;
   ParkedPackets Parked;
   base::TimePoint ArrivedAt{}; // of the packet that is being decided
--- a/packages/flows/src/FlowBalancer.cpp
+++ b/packages/flows/src/FlowBalancer.cpp
@@ -234,6 +234,7 @@
   replayParked(Now);
   Batching = false;
   sendSearches();
+  sendTries(Now);
   sendHellos(Now);
   if (Now >= NextAging) {
     Flows.age([](const FlowKey &, const FlowEntry &) {});
--- a/packages/flows/src/FlowSearch.cpp
+++ b/packages/flows/src/FlowSearch.cpp
@@ -5,6 +5,11 @@
 
 namespace burdockstream::flows {
 
+bool FlowBalancer::isUnsure(const Search &Running, TargetIndex Agent) {
+  return std::find(Running.Unsure.begin(), Running.Unsure.end(), Agent) !=
+         Running.Unsure.end();
+}
+
 // The targets that Stage asks, those of earlier stages included.
 std::vector<TargetIndex> FlowBalancer::holdersOf(SearchStage Stage,
                                                  const FlowKey &Flow) const {
@@ -80,22 +85,17 @@
     Running.Kept.emplace_back(Packet);
     Running.NewestArrivedAt = ArrivedAt;
   }
+  if (!Tries.take(static_cast<double>(Running.Unsure.size()), Now))
+    return; // the client sends it again
   for (const TargetIndex Index : Running.Unsure)
     if (Targets.at(Index))
       forward(Packet, Index, nullptr, FrameKind::Try);
 }
 
 bool FlowBalancer::admitSearch(size_t Asked, base::TimePoint Now) {
-  const std::chrono::duration<double> Elapsed = Now - SearchFramesAt;
-  SearchFramesAt = Now;
-  SearchFrames = std::min(
-      SearchFrameBurst, SearchFrames + Elapsed.count() * SearchFramesPerSecond);
   const double Frames = static_cast<double>(Asked) /
                         (Batching ? static_cast<double>(HeadersPerFrame) : 1);
-  if (SearchFrames < Frames)
-    return false;
-  SearchFrames -= Frames;
-  return true;
+  return SearchFrames.take(Frames, Now);
 }
 
 // Asks Holders for the flow of Header. One that counts as lost is asked too,
@@ -166,20 +166,28 @@
 // has fallen silent since the search began is waited for all the same: its
 // silence may be the balancer's own.
 void FlowBalancer::stopWaiting(Search &Running, base::TimePoint Now) {
-  std::erase_if(Running.Open, [&](TargetIndex Index) {
+  const auto HasLeft = [&](TargetIndex Index) {
     const Target *Silent = Targets.at(Index);
     return !Silent || (!Silent->Heard && isLost(*Silent, Now));
-  });
+  };
+  std::erase_if(Running.Open, HasLeft);
+  std::erase_if(Running.Unsure, HasLeft);
 }
 
-void FlowBalancer::askSilent(Search &Running, base::TimePoint Now) {
-  if (!admitSearch(Running.Open.size(), Now))
+void FlowBalancer::askSilent(Search &Running, const FlowKey &Flow,
+                             base::TimePoint Now) {
+  const size_t Silent = Running.Open.size() - Running.Unsure.size();
+  const bool Retries = Running.AskInterval > RetryTime && PendingTries.empty();
+  if (!admitSearch(Silent, Now))
     return;
   const Packet Newest = Running.Kept.back().packet();
   for (const TargetIndex Index : Running.Open) {
-    Target &Silent = *Targets.at(Index);
-    Silent.LastNeeded = Now; // it is greeted, so that its loss is noticed
-    Batch.add(Silent.Agent, Silent.Service, headerOf(Newest));
+    Target &Asked = *Targets.at(Index);
+    Asked.LastNeeded = Now; // it is greeted, so that its loss is noticed
+    if (!isUnsure(Running, Index))
+      Batch.add(Asked.Agent, Asked.Service, headerOf(Newest));
+    else if (Retries)
+      PendingTries.emplace(Random(), PendingTry{Flow, Index});
   }
 }
 
@@ -204,10 +212,11 @@
   Running.NextAsk = Now + Running.AskInterval;
   // The store may know that silent agents have left.
   isCaughtUp(ViewPart::Agents, Now - LeftCheckInterval, Now);
-  askSilent(Running, Now);
+  askSilent(Running, Flow, Now);
   // It takes time to prove that silent agents are lost; the others are asked
-  // meanwhile.
-  while (Running.Stage != SearchStage::All && askNextStage(Running, Flow, Now))
+  // meanwhile. Unsure ones are not silent: most likely one of them finds it.
+  while (Running.Open.size() > Running.Unsure.size() &&
+         Running.Stage != SearchStage::All && askNextStage(Running, Flow, Now))
     ;
   decide(DecisionKind::AskedAgain, Flow, Running.Open.front(),
          Running.Open.size(), Now);
@@ -265,7 +274,7 @@
   case FrameKind::NotHeld:
     return onNotHeld(Index, Packet.Flow, Now);
   case FrameKind::Unsure:
-    return onUnsure(Index, Packet.Flow);
+    return onUnsure(Index, Packet.Flow, Now);
   default:
     return;
   }
@@ -292,15 +301,32 @@
     place(Packet, *Route, *Entry, Now);
 }
 
-void FlowBalancer::onUnsure(TargetIndex Agent, const FlowKey &Flow) {
+void FlowBalancer::onUnsure(TargetIndex Agent, const FlowKey &Flow,
+                            base::TimePoint Now) {
   const auto Found = Searches.find(Flow);
-  if (Found == Searches.end())
-    return;
-  auto &Unsure = Found->second.Unsure;
-  if (std::find(Unsure.begin(), Unsure.end(), Agent) != Unsure.end())
+  if (Found == Searches.end() || isUnsure(Found->second, Agent))
     return; // it has the packets; a second answer must not cost them again
-  Unsure.push_back(Agent);
-  sendKept(Found->second, Agent, FrameKind::Try);
+  auto &Open = Found->second.Open;
+  if (std::find(Open.begin(), Open.end(), Agent) == Open.end())
+    Open.push_back(Agent); // it counted as lost, and lives
+  Found->second.Unsure.push_back(Agent);
+  PendingTries.emplace(Random(), PendingTry{Flow, Agent});
+  sendTries(Now);
+}
+
+void FlowBalancer::sendTries(base::TimePoint Now) {
+  while (!PendingTries.empty()) {
+    const PendingTry Next = PendingTries.begin()->second;
+    const auto Found = Searches.find(Next.Flow);
+    const bool Needed = Found != Searches.end() && Targets.at(Next.Agent) &&
+                        isUnsure(Found->second, Next.Agent);
+    if (Needed &&
+        !Tries.take(static_cast<double>(Found->second.Kept.size()), Now))
+      return;
+    PendingTries.erase(PendingTries.begin());
+    if (Needed)
+      sendKept(Found->second, Next.Agent, FrameKind::Try);
+  }
 }
 
 void FlowBalancer::onHeld(TargetIndex Agent, const FlowKey &Flow,
@@ -311,8 +337,7 @@
     return;
   Flows.insert(Flow).Target = Agent;
   // An agent that was unsure has given the packets to its target already.
-  const auto &Unsure = Found->second.Unsure;
-  if (std::find(Unsure.begin(), Unsure.end(), Agent) == Unsure.end())
+  if (!isUnsure(Found->second, Agent))
     sendKept(Found->second, Agent, FrameKind::Forward);
   Searches.erase(Found);
   decide(DecisionKind::Found, Flow, Agent, 0, Now);
--- a/packages/flows/test/FlowFixture.cpp
+++ b/packages/flows/test/FlowFixture.cpp
@@ -91,6 +91,12 @@
   Hooks.OnDecision = [this](const FlowDecision &Decision) {
     Decisions.push_back(Decision);
   };
+  Hooks.CatchUp = [this, Index](ViewPart Part) {
+    if (CatchUp)
+      CatchUp(Index, Part);
+    else
+      Balancers[Index].Core->markCaughtUp(Part);
+  };
   Hooks.OnNewerRoutes = [this](base::Revision Revision,
                                base::SocketAddress At) {
     NewerRoutes.emplace_back(Revision, At);
--- a/packages/flows/test/FlowFixture.h
+++ b/packages/flows/test/FlowFixture.h
@@ -117,6 +117,8 @@
   std::vector<base::SocketAddress> Missing; // balancers that lack an entry
   // Whether a frame is lost on its way; none are if it is empty.
   std::function<bool(base::SocketAddress To, FrameKind)> Loses;
+  // Catches a balancer up with the store; at once if it is empty.
+  std::function<void(size_t Balancer, ViewPart)> CatchUp;
   PacketBook Book;
   base::TimePoint Now = base::TimePoint(std::chrono::seconds(100));
 
