Give the limits of searches a file of their own; go on at once where nobody is near

Cause: the constants of searches stood among those of the balancer, and a search in a failure domain without targets of the service waited a tick before it asked others. Change: SearchLimits.h names the load patterns; search() is split into startSearch() and keep().

--- a/packages/flowd/include/burdockstream/flowd/StorePacing.h
+++ b/packages/flowd/include/burdockstream/flowd/StorePacing.h
@@ -8,9 +8,8 @@
 // - A release: a target leaves and another one starts each second. The changes
 //   of some seconds come in one answer to each balancer. Where a decision needs
 //   the newest list, the balancer asks for it at once (Watch::catchUp).
-// - A fleet at rest: watch calls that end without an event. Among many
-// balancers
-//   one of them ends often enough, and agents tell the others what it brought.
+// - A fleet at rest: watch calls end without an event. Among many balancers one
+//   ends often enough, and agents tell the others what it brought.
 // - A fleet whose processes all started together: their calls must not end
 //   together ever after.
 #ifndef BURDOCKSTREAM_FLOWD_STOREPACING_H
--- a/packages/flows/include/burdockstream/flows/FlowBalancer.h
+++ b/packages/flows/include/burdockstream/flows/FlowBalancer.h
@@ -21,6 +21,7 @@
 #include "burdockstream/flows/Placement.h"
 #include "burdockstream/flows/RouteTable.h"
 #include "burdockstream/flows/SearchBatch.h"
+#include "burdockstream/flows/SearchLimits.h"
 #include "burdockstream/flows/TargetTable.h"
 
 #include <array>
@@ -84,59 +85,6 @@
 inline constexpr base::Duration FirstSettleTime =
     std::chrono::milliseconds(150);
 
-// Time in which agents answer a search; later it is forgotten, and the next
-// packet of the flow starts another one.
-inline constexpr base::Duration SearchLife = std::chrono::milliseconds(1500);
-
-// How often it is decided anew which agents are greeted: an agent that has
-// registered gets flows after at most this and a round trip.
-inline constexpr base::Duration GreetedInterval =
-    std::chrono::milliseconds(200);
-
-// An answer to a search may be lost, and an agent may be starting: those that
-// have not answered are asked again after this, then after twice the time, and
-// so on. Between failure domains an answer takes about 20 ms.
-inline constexpr base::Duration ReaskTime = std::chrono::milliseconds(60);
-
-// While agents are silent the store is asked this often at most whether they
-// have left.
-inline constexpr base::Duration LeftCheckInterval =
-    std::chrono::milliseconds(500);
-
-// An agent that counts as lost may only be unheard: after a restart it does not
-// know this balancer until the next hello. It is asked too, and no flow is
-// reset before it has had this long to answer, several times a round trip.
-inline constexpr base::Duration LostAnswerTime = std::chrono::milliseconds(300);
-
-// Packets of a flow that are kept while its holder is looked for; the client
-// has at most 16 in flight, and sends the others again.
-inline constexpr size_t MaxKept = 4;
-
-// Load pattern: after a restart of all balancers every long flow is searched at
-// once. A search costs a frame for each agent of the service; more than this
-// many a second would hold up the frames of flows that are known. Packets over
-// the limit are parked until there is room.
-inline constexpr double SearchFramesPerSecond = 6000;
-inline constexpr double SearchFrameBurst = 600;
-
-// Load pattern: after a kill of all processes no agent knows which flows its
-// target holds, so each search gives a packet to many targets. Packets beyond
-// this many wait: a small VM's link and its socket's queue of 256 datagrams
-// would lose most of them.
-inline constexpr double TriesPerSecond = 2400;
-inline constexpr double TryBurst = 100;
-
-// A packet that an unsure agent got, or its answer, may be lost: it is sent
-// again when the agent has not answered for this long.
-inline constexpr base::Duration RetryTime = std::chrono::milliseconds(400);
-
-// Whom a search asks, one stage after the other.
-enum class SearchStage : uint8_t {
-  Near,    // targets of the route's services in the balancer's failure domain
-  Service, // all of the route's services
-  All,     // all that there are
-};
-
 // If the loop stood still for longer, the silence of agents proves nothing.
 inline constexpr base::Duration StallLimit = std::chrono::milliseconds(400);
 
@@ -248,6 +196,9 @@
   void forward(const Packet &Packet, TargetIndex Index, const Route *Route,
                FrameKind Kind = FrameKind::Forward);
   void search(const Packet &Packet, TargetIndex Excluded, base::TimePoint Now);
+  void startSearch(const Packet &Packet, TargetIndex Excluded,
+                   base::TimePoint Now);
+  void keep(Search &Running, const Packet &Packet, base::TimePoint Now);
   bool admitSearch(size_t Asked, base::TimePoint Now);
   std::vector<TargetIndex> holdersOf(SearchStage Stage,
                                      const FlowKey &Flow) const;
--- a/packages/flows/include/burdockstream/flows/Greeting.h
+++ b/packages/flows/include/burdockstream/flows/Greeting.h
@@ -8,13 +8,11 @@
 //   and a few others of each service for work that its domain cannot take. The
 //   few differ from balancer to balancer, so that overflow spreads evenly.
 // - A failure domain without targets of a service: more are greeted elsewhere.
-// - Flows at other agents, that a failure or a moved flow brought: an agent
-// that
-//   is needed is greeted, so that its loss is noticed.
+// - Flows at other agents, which an overload or the loss of a balancer brought:
+//   an agent that is needed is greeted, so that its loss is noticed.
 // - A restart of everything: a balancer that has just started does not know
-// which
-//   listed agents live. It greets all of them for a moment, so that flows whose
-//   targets are gone are reset without further delay.
+//   which listed agents live. It greets all of them for a moment, so that flows
+//   whose targets are gone are reset without further delay.
 // - Entries that lapse in the store: an agent that is not listed is greeted; if
 //   it answers it stays in use.
 #ifndef BURDOCKSTREAM_FLOWS_GREETING_H
--- a/packages/flows/src/FlowSearch.cpp
+++ b/packages/flows/src/FlowSearch.cpp
@@ -47,8 +47,7 @@
 
 void FlowBalancer::search(const Packet &Packet, TargetIndex Excluded,
                           base::TimePoint Now) {
-  const Route *Route = Routes ? Routes->find(Packet.Flow) : nullptr;
-  if (!Route) {
+  if (!Routes || !Routes->find(Packet.Flow)) {
     if (!Routes || !StoreFresh ||
         !isCaughtUp(ViewPart::Routes, ArrivedAt, Now)) {
       park(Packet, WaitFor::Knowledge);
@@ -58,28 +57,39 @@
     Hooks.SendReset(Packet.Flow, Packet.Acknowledged);
     return decide(DecisionKind::RefusedNoRoute, Packet.Flow, NoTarget, 0, Now);
   }
-  auto Found = Searches.find(Packet.Flow);
-  if (Found == Searches.end()) {
-    if (Targets.size() == 0) { // an empty list proves nothing
-      park(Packet, WaitFor::Knowledge);
-      return decide(DecisionKind::Unsettled, Packet.Flow, NoTarget, 0, Now);
-    }
-    auto Holders = holdersOf(SearchStage::Near, Packet.Flow);
-    if (!admitSearch(Holders.size(), Now))
-      return park(Packet, WaitFor::SearchBudget);
-    Found = Searches.try_emplace(Packet.Flow).first;
-    Search &New = Found->second;
-    New.Started = Now;
-    New.NextAsk = Now + New.AskInterval;
-    if (const Target *Sender = Targets.at(Excluded);
-        Sender && !isLost(*Sender, Now)) {
-      New.Asked.push_back(Excluded);
-      std::erase(Holders, Excluded);
-    }
-    ask(New, Holders, headerOf(Packet), Now);
-    decide(DecisionKind::Searched, Packet.Flow, Excluded, New.Open.size(), Now);
+  if (const auto Found = Searches.find(Packet.Flow); Found != Searches.end())
+    return keep(Found->second, Packet, Now);
+  if (Targets.size() == 0) { // an empty list proves nothing
+    park(Packet, WaitFor::Knowledge);
+    return decide(DecisionKind::Unsettled, Packet.Flow, NoTarget, 0, Now);
   }
-  Search &Running = Found->second;
+  startSearch(Packet, Excluded, Now);
+}
+
+void FlowBalancer::startSearch(const Packet &Packet, TargetIndex Excluded,
+                               base::TimePoint Now) {
+  auto Holders = holdersOf(SearchStage::Near, Packet.Flow);
+  if (!admitSearch(Holders.size(), Now))
+    return park(Packet, WaitFor::SearchBudget);
+  Search &New = Searches[Packet.Flow];
+  New.Started = Now;
+  New.NextAsk = Now + New.AskInterval;
+  keep(New, Packet, Now);
+  if (const Target *Sender = Targets.at(Excluded);
+      Sender && !isLost(*Sender, Now)) {
+    New.Asked.push_back(Excluded); // it has just said that it is not the holder
+    std::erase(Holders, Excluded);
+  }
+  ask(New, Holders, headerOf(Packet), Now);
+  while (New.Open.empty() && New.Stage != SearchStage::All &&
+         askNextStage(New, Packet.Flow, Now))
+    ;
+  decide(DecisionKind::Searched, Packet.Flow, Excluded, New.Open.size(), Now);
+}
+
+// Keeps Packet for the agent that will be found, and lets unsure ones try it.
+void FlowBalancer::keep(Search &Running, const Packet &Packet,
+                        base::TimePoint Now) {
   Running.Acknowledged = Packet.Acknowledged;
   if (Running.Kept.size() < MaxKept) {
     Running.Kept.emplace_back(Packet);
