Survive malformed answers, and ask few peers for their state

Cause: (1) JSON that is no object, as an answer of the store, or an agent in a peer's state that is none, threw out of a callback and ended the process; a route's weight of 2^32 became zero and failed a check. PeerQuestions: two peers that name agents are enough, and routes are fetched from a peer only when the own watch has not brought them after 0.7 s.

--- a/packages/flowd/src/BalancerShell.cpp
+++ b/packages/flowd/src/BalancerShell.cpp
@@ -3,6 +3,7 @@
 #include "BootClock.h"
 #include "burdockstream/base/JsonText.h"
 #include "burdockstream/flowd/AgentEntries.h"
+#include "burdockstream/flowd/PeerState.h"
 #include "burdockstream/flowd/StorePacing.h"
 #include "burdockstream/network/LoopTimer.h"
 
@@ -73,10 +74,7 @@
   };
   Hooks.OnNewerRoutes = [this](base::Revision Revision,
                                base::SocketAddress Control) {
-    if (AskedRevision && *AskedRevision >= Revision)
-      return;
-    AskedRevision = Revision;
-    askPeer(Control);
+    Questions.noteNewerRoutes(Revision, Control, readClocks().Monotonic);
   };
   return Hooks;
 }
@@ -282,7 +280,7 @@
     Json::Value Report = describe(Core, readClocks().Monotonic);
     Report["name"] = Settings.Name;
     Report["ready"] = isReady();
-    for (const base::SocketAddress Peer : KnownPeers)
+    for (const base::SocketAddress Peer : Questions.known())
       Report["peers"].append(base::toString(Peer));
     return Report;
   };
@@ -293,27 +291,20 @@
 }
 
 std::string BalancerShell::stateForPeers() const {
-  Json::Value State;
-  State["revision"] = Json::Int64(Core.routesRevision());
-  State["routes"] = RoutesText;
-  State["agents"] = Json::arrayValue;
+  PeerState State{Core.routesRevision(), RoutesText, {}};
   const base::TimePoint Now = readClocks().Monotonic;
   for (const auto &Each : Core.targets().all())
-    if (Each && !Each->ServiceName.empty() && !isLost(*Each, Now)) {
-      Json::Value Entry;
-      Entry["key"] = entryKey(Each->Agent);
-      Entry["value"] =
-          entryValue({Each->Agent, Each->ServiceName, Each->FailureDomain});
-      State["agents"].append(Entry);
-    }
-  return base::compactJson(State);
+    if (Each && !Each->ServiceName.empty() && !isLost(*Each, Now))
+      State.Agents.push_back(
+          {Each->Agent, Each->ServiceName, Each->FailureDomain});
+  return writePeerState(State);
 }
 
-// A peer that was not known before is asked which agents it hears.
+// A peer that was not known before is asked which agents it knows, unless
+// enough others have said so.
 void BalancerShell::meetPeer(base::SocketAddress Peer) {
-  if (Peer.Ip == Settings.Control.Ip || !KnownPeers.insert(Peer).second)
-    return;
-  askPeer(Peer);
+  if (Peer.Ip != Settings.Control.Ip && Questions.meet(Peer))
+    askPeer(Peer);
 }
 
 void BalancerShell::askPeers() {
@@ -331,40 +322,42 @@
     Core.setPeersAsked(--OpenPeerCalls == 0);
     if (Answer.has_value() && Answer.value().Status == 200)
       return takePeerState(Peer, Answer.value().Body);
-    AskedRevision.reset(); // ask again when the next status says so
-    Json::Value Fields;
-    Fields["peer"] = base::toString(Peer);
-    Fields["reason"] = Answer.has_error()
-                           ? Answer.error().Message
-                           : std::to_string(Answer.value().Status);
-    Log.write(LogPriority::Process, "peer_failed", Fields, readClocks());
+    Questions.forgetNewerRoutes(); // ask again when the next status says so
+    logPeerFailure(Peer, Answer.has_error()
+                             ? Answer.error().Message
+                             : std::to_string(Answer.value().Status));
   });
 }
 
+void BalancerShell::logPeerFailure(base::SocketAddress Peer,
+                                   const std::string &Reason) {
+  Json::Value Fields;
+  Fields["peer"] = base::toString(Peer);
+  Fields["reason"] = Reason;
+  Log.write(LogPriority::Process, "peer_failed", Fields, readClocks());
+}
+
 void BalancerShell::takePeerState(base::SocketAddress Peer,
                                   const std::string &Body) {
-  const auto Document = base::JsonDocument::parse(Body, base::toString(Peer));
-  if (Document.has_error() || !Document.value().root().isObject())
-    return;
-  const Json::Value &Root = Document.value().root();
-  if (Root["revision"].isInt64() && Root["routes"].isString() &&
-      Root["revision"].asInt64() > 0)
-    takeRoutes(Root["routes"].asString(), Root["revision"].asInt64(),
+  const auto State = readPeerState(Body, base::toString(Peer));
+  if (State.has_error())
+    return logPeerFailure(Peer, State.error().Message);
+  if (State.value().Revision > 0)
+    takeRoutes(State.value().Routes, State.value().Revision,
                base::toString(Peer));
+  Questions.noteAnswer(State.value().Agents.size());
   // Agents that are found this way stay in use if they answer.
-  for (const Json::Value &Each : Root["agents"])
-    if (Each["key"].isString() && Each["value"].isString()) {
-      const auto Entry =
-          readEntry(Each["key"].asString(), Each["value"].asString());
-      if (Entry.has_value())
-        Core.suggestAgent(Entry.value(), readClocks().Monotonic);
-    }
+  for (const flows::AgentEntry &Each : State.value().Agents)
+    Core.suggestAgent(Each, readClocks().Monotonic);
 }
 
 void BalancerShell::tick() {
   const base::Now Now = readClocks();
   Core.tick(Now.Monotonic);
   Log.reportDropsAtIntervals(Now);
+  if (const auto Peer =
+          Questions.dueForRoutes(Core.routesRevision(), Now.Monotonic))
+    askPeer(*Peer);
   const bool Unaided = !Core.routes() || Core.targets().size() == 0;
   if (Unaided && Now.Monotonic - StartedAt > PeerDelay &&
       Now.Monotonic >= NextPeerRound) {
--- a/packages/flowd/src/BalancerShell.h
+++ b/packages/flowd/src/BalancerShell.h
@@ -7,11 +7,10 @@
 #include "FlowReports.h"
 #include "FrameSocket.h"
 #include "burdockstream/flowd/FlowDaemon.h"
+#include "burdockstream/flowd/PeerQuestions.h"
 #include "burdockstream/flowd/WatchedPrefix.h"
 #include "burdockstream/flows/FlowBalancer.h"
 
-#include <optional>
-#include <set>
 #include <string>
 
 namespace burdockstream::flowd {
@@ -43,6 +42,7 @@
   void askPeers();
   void meetPeer(base::SocketAddress Peer);
   void askPeer(base::SocketAddress Peer);
+  void logPeerFailure(base::SocketAddress Peer, const std::string &Reason);
   void takePeerState(base::SocketAddress Peer, const std::string &Body);
   std::string stateForPeers() const;
   bool isReady() const;
@@ -64,8 +64,7 @@
   http::HttpServer Server;
   http::HttpClient Client;
   std::string RoutesText; // of the routes in force, for peers
-  std::optional<base::Revision> AskedRevision;
-  std::set<base::SocketAddress> KnownPeers; // that were asked at least once
+  PeerQuestions Questions;
   size_t OpenPeerCalls = 0;
   base::TimePoint StartedAt{};
   base::TimePoint NextPeerRound{};
--- a/testing/platform_standin/include/burdockstream/testing/PlatformStoreStandIn.h
+++ b/testing/platform_standin/include/burdockstream/testing/PlatformStoreStandIn.h
@@ -24,6 +24,7 @@
   Many,       // 429
   Reset,      // connections are closed without an answer
   Silent,     // no answer comes
+  Malformed,  // answers are JSON, but not of the documented form
   LostAnswer, // writes are done, but not answered
 };
 
--- a/testing/platform_standin/src/PlatformStoreStandIn.cpp
+++ b/testing/platform_standin/src/PlatformStoreStandIn.cpp
@@ -116,6 +116,9 @@
   case StoreFault::Busy:
     Out->send(empty(503));
     return true;
+  case StoreFault::Malformed:
+    Out->send({200, "application/json", R"([{"events":[7]}])"});
+    return true;
   case StoreFault::Many:
     Out->send(empty(429));
     return true;
