Make a widening in a fleet test explicit

Cause: clang-tidy refuses the implicit widening of a product of ints (bugprone-implicit-widening). Change: the product is one of size_t; its value and the check stay. Result: the linter is clean on the files changed since; test_flows passes.

--- a/packages/flows/test/LargeFleetTest.cpp
+++ b/packages/flows/test/LargeFleetTest.cpp
@@ -80,7 +80,7 @@
   const size_t Near = (59 + 4) / 5;
   // Beside its domain's, an agent of the smaller service has a share of the 48
   // other balancers times MinGreeted less 5 near ones, over 22 far agents.
-  const size_t Far = 48 * 5 / 22 * 2;
+  const size_t Far = size_t{48} * 5 / 22 * 2;
   EXPECT_LE(most(Received, W.Agents), (Near + Far) * (Hellos + 2));
 }
 
