--- a/docs/plots/plot.py
+++ b/docs/plots/plot.py
@@ -55,7 +55,8 @@
 
 
 def plot_worth():
-    for site in ("cbs-hq", "seilnetz-ch", "cbs-hq-grown", "seilnetz-ch-grown"):
+    for site in ("cbs-hq", "seilnetz-ch", "cbs-hq-grown", "seilnetz-ch-grown",
+                 "pillilaen-tln", "pillilaen-tln-grown", "cbs-hq-large"):
         first, last = passing_scores(site)
         before = {day["name"]: day["G"] for day in first["days"]}
         days = [day for day in last["days"] if day["name"] in before]
