Eject targets that fail requests

Ruled out: heartbeats or health checks as evidence (good all the while); a decision by balancers, which do not see the packets of targets; a gate at the agent, since the status arrives within a round trip.

Change: an agent ejects its target after three consecutive resets in place of an answer, for 2 s, doubling up to 16 s with each further failure; statuses state the remaining time, and placement leaves ejected targets out unless more than half of the candidates are ejected.

--- a/packages/flowd/src/AgentDaemon.cpp
+++ b/packages/flowd/src/AgentDaemon.cpp
@@ -123,6 +123,13 @@
     Fields["flows"] = Json::UInt64(Core.flows());
     Log.write(LogPriority::Process, "evacuation", Fields, readClocks());
   };
+  Hooks.OnEjected = [this](base::Duration Time) {
+    Json::Value Fields;
+    Fields["for_ms"] = Json::Int64(base::toMilliseconds(Time));
+    Fields["waiting"] = Core.waiting();
+    Log.write(LogPriority::Process, "target_ejected", Fields, readClocks());
+    Registry.counter("ejections").add();
+  };
   Hooks.OnEntryMissing = [this](base::SocketAddress) {
     const base::TimePoint Now = readClocks().Monotonic;
     if (Now - LastEntryRewrite < MinEntryRewriteInterval)
--- a/packages/flowd/src/FlowReports.cpp
+++ b/packages/flowd/src/FlowReports.cpp
@@ -83,6 +83,7 @@
       Json::Int64(base::toMilliseconds(Now - Target.LastStatusAt));
   Entry["listed"] = Target.Listed;
   Entry["evacuated"] = Target.Evacuated;
+  Entry["ejected"] = Target.Status.EjectedMs > 0;
   return Entry;
 }
 
@@ -176,6 +177,8 @@
   Report["slots"] = Core.slots();
   Report["waiting"] = Core.waiting();
   Report["routes_revision"] = Json::Int64(Core.newestRoutes());
+  Report["ejected_for_ms"] =
+      Json::Int64(base::toMilliseconds(Core.ejectedFor(Now)));
   Report["evacuated"] = Core.evacuation().Evacuated;
   Report["evacuation_revision"] = Json::Int64(Core.evacuation().Revision);
   return Report;
--- a/packages/flows/include/burdockstream/flows/FlowAgent.h
+++ b/packages/flows/include/burdockstream/flows/FlowAgent.h
@@ -15,6 +15,7 @@
 #include "burdockstream/flows/Frame.h"
 #include "burdockstream/flows/Heartbeat.h"
 #include "burdockstream/flows/HeldOpenings.h"
+#include "burdockstream/flows/OutlierEjection.h"
 #include "burdockstream/flows/Packet.h"
 #include "burdockstream/flows/ServiceTimeEstimate.h"
 #include "burdockstream/flows/TargetStatus.h"
@@ -68,6 +69,8 @@
   // The target's failure domain is evacuated, or is no longer.
   std::function<void(const DomainEvacuation &, base::SocketAddress Balancer)>
       OnEvacuation;
+  // The target fails requests and is ejected for Time.
+  std::function<void(base::Duration Time)> OnEjected;
 };
 
 // The agent's state of one flow, for status reports to operators.
@@ -201,6 +204,9 @@
   uint32_t slots() const { return Slots; }
   base::Revision newestRoutes() const { return NewestRoutes; }
   const DomainEvacuation &evacuation() const { return Evacuation; }
+  base::Duration ejectedFor(base::TimePoint Now) const {
+    return Ejection.remaining(Now);
+  }
   base::Duration heartbeatAge(base::TimePoint Now) const {
     return Now - LastHeartbeat;
   }
@@ -218,6 +224,7 @@
     bool Waiting = false; // a request has no answer yet
     bool Counted = false; // included in OpenFlows
     bool Opening = false; // its first request has not arrived yet
+    bool Closing = false; // the target has closed its side
   };
   struct Balancer {
     base::SocketAddress Address;
@@ -258,6 +265,7 @@
                      base::TimePoint Now);
   void recordAnswer(FlowRecord &Record, base::TimePoint Now);
   void accountBusyTime(base::TimePoint Now);
+  void recordAbort(const FlowRecord &Record, base::TimePoint Now);
   void onReturned(const Packet &Packet, base::TimePoint Now);
   void answer(base::SocketAddress To, FrameKind Kind, ReturnReason Reason,
               std::span<const uint8_t> Body);
@@ -306,6 +314,7 @@
   uint32_t OpenFlows = 0;
   double MeanServiceUs = 0; // from request to answer, for statuses
   ServiceTimeEstimate ServiceTime;
+  OutlierEjection Ejection;
   // Mean time from an opening packet to the first request.
   base::Duration MeanHandshake = InitialHandshake;
 
--- a/packages/flows/include/burdockstream/flows/Placement.h
+++ b/packages/flows/include/burdockstream/flows/Placement.h
@@ -10,6 +10,8 @@
 //   warm-up ends.
 // - A target that has become slow accumulates waiting requests and so gets no
 //   new flows.
+// - A target that fails requests at once has no waiting requests: its agent
+//   reports it as ejected.
 // - Traffic between failure domains costs money and time: a remote target is
 //   chosen only if it is clearly less loaded.
 #ifndef BURDOCKSTREAM_FLOWS_PLACEMENT_H
@@ -21,6 +23,7 @@
 #include <cstdint>
 #include <optional>
 #include <span>
+#include <vector>
 
 namespace burdockstream::flows {
 
@@ -36,6 +39,7 @@
   // in requests in progress; 0 for a preferred target.
   double Penalty = 0;
   bool Warming = false;
+  bool Ejected = false; // it fails requests
 };
 
 // Load of an open flow, in requests in progress: a client device sends about
@@ -56,6 +60,15 @@
 // Service time of a target that is warming up, relative to its normal one.
 inline constexpr double WarmupFactor = 1.6;
 
+// Balancers ignore ejections (OutlierEjection.h) if fewer than one in this many
+// of the targets that could accept a flow are not ejected: these would be
+// overloaded.
+inline constexpr size_t MaxTargetsPerUsable = 2;
+
+// Removes the ejected targets from Choices, unless too many are ejected. Thread
+// safety: any thread.
+void removeEjected(std::vector<Candidate> &Choices);
+
 // Returns the load of a target per slot, penalties included. Precondition:
 // Slots is not zero. Thread safety: any thread.
 double loadOf(const Candidate &Choice);
--- a/packages/flows/include/burdockstream/flows/TargetStatus.h
+++ b/packages/flows/include/burdockstream/flows/TargetStatus.h
@@ -45,6 +45,9 @@
   base::SocketAddress NewestRoutesAt;
   // Of the target's failure domain, as far as the agent knows.
   DomainEvacuation Evacuation;
+  // Remaining time for which the target should get no flows, see
+  // OutlierEjection.h.
+  uint32_t EjectedMs = 0;
 };
 
 } // namespace burdockstream::flows
--- a/packages/flows/src/AgentStatus.cpp
+++ b/packages/flows/src/AgentStatus.cpp
@@ -203,6 +203,8 @@
   Status.NewestRoutes = NewestRoutes;
   Status.NewestRoutesAt = NewestRoutesAt;
   Status.Evacuation = Evacuation;
+  Status.EjectedMs =
+      static_cast<uint32_t>(base::toMilliseconds(Ejection.remaining(Now)));
   return Status;
 }
 
--- a/packages/flows/src/FlowAgent.cpp
+++ b/packages/flows/src/FlowAgent.cpp
@@ -38,6 +38,7 @@
   Heartbeats = HeartbeatFilter();
   KnowsAllFlows = false;
   ServiceTime.clear();
+  Ejection.clear();
   apply(TargetEvent::Replace, "settings", Now);
   start(Now);
 }
@@ -131,6 +132,7 @@
     return;
   accountBusyTime(Now);
   ServiceTime.recordAnswer();
+  Ejection.recordAnswer();
   Record.Waiting = false;
   --WaitingRequests;
   const base::Duration Taken = Now - Record.RequestedAt;
@@ -154,14 +156,28 @@
   }
   if (Packet.DataBytes > 0)
     recordAnswer(Record, Now);
-  if (Packet.Finishes)
+  if (Packet.Aborts)
+    recordAbort(Record, Now);
+  if (Packet.Finishes) {
     stopCounting(Record);
+    Record.Closing = true;
+  }
   Hooks.SendToClient(Packet.Flow, Packet.Bytes);
   if (Packet.Aborts)
     forget(Packet.Flow);
   admitHeld(Now);
 }
 
+// A reset of a flow that the target has closed is not a failure: the client had
+// sent more before it received the end.
+void FlowAgent::recordAbort(const FlowRecord &Record, base::TimePoint Now) {
+  if (!Record.Waiting || Record.Closing || !Ejection.recordFailure(Now))
+    return;
+  if (Hooks.OnEjected)
+    Hooks.OnEjected(Ejection.remaining(Now));
+  sendStatuses(Now, Audience::All);
+}
+
 void FlowAgent::onReturned(const Packet &Packet, base::TimePoint Now) {
   const uint32_t Tag = Packet.Tag;
   const auto Index = static_cast<uint16_t>(Tag);
--- a/packages/flows/src/FlowBalancer.cpp
+++ b/packages/flows/src/FlowBalancer.cpp
@@ -162,8 +162,9 @@
     Choices.push_back({Index, std::max(Each.Status.Slots, 1U),
                        Each.Status.Waiting, Each.UnreportedFlows,
                        Each.Status.Flows, DistanceTo(Index),
-                       Each.Status.WarmupMs > 0});
+                       Each.Status.WarmupMs > 0, Each.Status.EjectedMs > 0});
   }
+  removeEjected(Choices);
   if (Choices.empty())
     addUnsubscribedTargets(Service, Entry, Penalty);
 }
@@ -180,7 +181,7 @@
     if (Each.Listed && !Each.Subscribed && !Each.Evacuated &&
         std::find(Offered, Offered + Entry.Offers, Index) ==
             Offered + Entry.Offers)
-      Choices.push_back({Index, 1, 0, Each.UnreportedFlows, 0, Penalty, false});
+      Choices.push_back({Index, 1, 0, Each.UnreportedFlows, 0, Penalty});
   }
 }
 
--- a/packages/flows/src/Frame.cpp
+++ b/packages/flows/src/Frame.cpp
@@ -41,7 +41,7 @@
 using StatusFields =
     std::tuple<uint64_t, uint64_t, base::ServiceId, std::string, uint8_t,
                uint32_t, uint32_t, uint32_t, uint32_t, uint32_t, int64_t,
-               base::SocketAddress, base::Revision, bool>;
+               base::SocketAddress, base::Revision, bool, uint32_t>;
 
 // Wire layout of a policy, in the same way.
 using PolicyFields = std::tuple<std::string, base::Revision, bool>;
@@ -134,7 +134,7 @@
       static_cast<uint8_t>(Status.State), Status.Slots, Status.Waiting,
       Status.Flows, Status.WarmupMs, Status.ServiceTimeUs, Status.NewestRoutes,
       Status.NewestRoutesAt, Status.Evacuation.Revision,
-      Status.Evacuation.Evacuated));
+      Status.Evacuation.Evacuated, Status.EjectedMs));
 }
 
 std::optional<TargetStatus> unpackStatus(std::span<const uint8_t> Body) {
@@ -156,7 +156,8 @@
                       std::get<9>(*Fields),
                       std::get<10>(*Fields),
                       std::get<11>(*Fields),
-                      {std::get<12>(*Fields), std::get<13>(*Fields)}};
+                      {std::get<12>(*Fields), std::get<13>(*Fields)},
+                      std::get<14>(*Fields)};
 }
 
 std::vector<uint8_t> packPolicy(const TargetPolicy &Policy) {
--- a/packages/flows/src/Placement.cpp
+++ b/packages/flows/src/Placement.cpp
@@ -1,5 +1,7 @@
 #include "burdockstream/flows/Placement.h"
 
+#include <algorithm>
+
 namespace burdockstream::flows {
 
 double loadOf(const Candidate &Choice) {
@@ -10,6 +12,14 @@
   return (Work + Choice.Penalty) / Choice.Slots;
 }
 
+void removeEjected(std::vector<Candidate> &Choices) {
+  const auto Usable = static_cast<size_t>(
+      std::count_if(Choices.begin(), Choices.end(),
+                    [](const Candidate &Each) { return !Each.Ejected; }));
+  if (Usable * MaxTargetsPerUsable >= Choices.size())
+    std::erase_if(Choices, [](const Candidate &Each) { return Each.Ejected; });
+}
+
 std::optional<uint32_t> chooseTarget(std::span<const Candidate> Choices,
                                      base::RandomSource &Random) {
   std::optional<uint32_t> Best;
--- a/packages/flows/test/FlowFixture.cpp
+++ b/packages/flows/test/FlowFixture.cpp
@@ -313,6 +313,12 @@
     return;
   Answer.Opens = false;
   Answer.Accepts = Arrived.Opens;
+  if (Place.Target.Aborts && Arrived.DataBytes > 0) {
+    ++Place.Target.Aborted;
+    Place.Target.Held.erase(Key);
+    Answer.DataBytes = 0;
+    Answer.Aborts = true;
+  }
   Place.Core->onTargetPacket(Registry.write(Answer, Sender::Target), Now);
 }
 
--- a/packages/flows/test/FlowFixture.h
+++ b/packages/flows/test/FlowFixture.h
@@ -48,6 +48,8 @@
   size_t Requests = 0;       // data packets of held flows
   bool Full = false;         // rejects opening packets
   bool Unresponsive = false; // does not answer requests
+  bool Aborts = false;       // resets the flow instead of answering a request
+  size_t Aborted = 0;        // requests that it reset
 };
 
 class Simulation;
--- a/packages/flows/test/FrameTest.cpp
+++ b/packages/flows/test/FrameTest.cpp
@@ -36,6 +36,7 @@
   Status.NewestRoutes = 77;
   Status.NewestRoutesAt = {0x0A010203, 7000};
   Status.Evacuation = {88, true};
+  Status.EjectedMs = 1234;
   const auto Read = unpackStatus(packStatus(Status));
   ASSERT_TRUE(Read.has_value());
   EXPECT_EQ(Read->Incarnation, Status.Incarnation);
@@ -44,6 +45,7 @@
   EXPECT_EQ(Read->Waiting, Status.Waiting);
   EXPECT_EQ(Read->NewestRoutesAt, Status.NewestRoutesAt);
   EXPECT_EQ(Read->Evacuation, Status.Evacuation);
+  EXPECT_EQ(Read->EjectedMs, Status.EjectedMs);
 }
 
 // Guards against losing the statuses of agents of an older build, which lack
@@ -54,9 +56,9 @@
   Status.Evacuation = {88, true};
   std::vector<uint8_t> Body = packStatus(Status);
   constexpr uint8_t FixedArray = 0x90; // msgpack: an array of up to 15 elements
-  ASSERT_EQ(Body[0], FixedArray | 14);
+  ASSERT_EQ(Body[0], FixedArray | 15);
   Body[0] = FixedArray | 12;
-  Body.resize(Body.size() - 2); // 88 and true take one byte each
+  Body.resize(Body.size() - 3); // the last three fields take one byte each
   const auto Read = unpackStatus(Body);
   ASSERT_TRUE(Read.has_value());
   EXPECT_EQ(Read->Slots, 6U);
