Count the end of a flow as the answer of its request

Cause: a target sends the end of a one-request flow just before the last data packet, or the two change places on the way. Every new request seemed late, and late requests get free slots only, the newest first.

Ruled out: too little capacity (5,724 answers in the 2.6 s from the restart), requests that count as waiting without being at the target (87 of these).

Change: the end counts as the answer if the answer has not been counted.

--- a/packages/flows/src/FlowAgent.cpp
+++ b/packages/flows/src/FlowAgent.cpp
@@ -154,7 +154,8 @@
       ++OpenFlows;
     }
   }
-  if (Packet.DataBytes > 0)
+  // The end of a flow may overtake the answer before it.
+  if (Packet.DataBytes > 0 || Packet.Finishes)
     recordAnswer(Record, Now);
   if (Packet.Aborts)
     recordAbort(Record, Now);
--- a/packages/flows/test/HeldOpeningsTest.cpp
+++ b/packages/flows/test/HeldOpeningsTest.cpp
@@ -132,6 +132,44 @@
   EXPECT_EQ(target().Opened.size(), Capacity + 1);
 }
 
+// Guards against a service time that is too long because the end of a flow
+// overtakes its answer and the answer is not counted. New requests would seem
+// late, and get free slots only.
+TEST_F(HeldOpeningsTest, TheEndOfAFlowCountsAsItsAnswer) {
+  constexpr uint16_t Answered = 80;
+  constexpr auto Work = milliseconds(100); // two ticks: two requests at a time
+  target().Unresponsive = true;
+  const auto Send = [&](uint16_t Port, bool Finishes) {
+    Packet Value;
+    Value.Flow = Simulation::flow(Port);
+    Value.Finishes = Finishes;
+    Value.DataBytes = Finishes ? 0 : 100;
+    agent().onTargetPacket(Sim.Registry.write(Value, Sender::Target), Sim.Now);
+  };
+  const auto Answer = [&](uint16_t Port) {
+    const bool EndFirst = Port % 4 != 0;
+    Send(Port, EndFirst);
+    Send(Port, !EndFirst);
+  };
+  for (uint16_t Port = 1; Port <= Answered; ++Port) {
+    Sim.openAndRequest(0, Simulation::flow(Port));
+    Sim.run(Work / 2);
+    if (Port > 1)
+      Answer(Port - 1);
+    if (Port % 10 == 0)
+      Sim.sendHeartbeat(0);
+  }
+  Answer(Answered);
+  EXPECT_EQ(agent().waiting(), 0U);
+  Sim.setRoutes(0, 11, {{ShopAddress, std::string(Shop)}},
+                WorkClass::Idempotent,
+                RequestTime{3 * Work, milliseconds(1200)});
+  for (uint16_t Port = 1001; Port <= 1000 + Slots; ++Port)
+    Sim.openAndRequest(0, Simulation::flow(Port));
+  Sim.open(0, Simulation::flow(2000));
+  EXPECT_EQ(agent().held(), 0U) << "the request is not late";
+}
+
 // Guards against an opening packet that is passed between targets for seconds.
 TEST_F(HeldOpeningsTest, EndsAtTheTimeLimit) {
   Sim.setRoutes(0, 11, {{ShopAddress, std::string(Shop)}},
