Limit the new flows of targets that warm up

Cause: the configuration states per service how many requests a second a target can take while it warms up; nothing read it.

Ruled out: a limit at balancers, since it holds for all of them together.

Change: the routes carry the limit, a policy frame brings it to the agent, and the agent admits at most that many flows in any second of the warm-up; others are held and then offered elsewhere. After an evacuation the agent takes its target for cold until the next heartbeat. A limit of 0 is none.

--- a/packages/flowd/src/AgentDaemon.cpp
+++ b/packages/flowd/src/AgentDaemon.cpp
@@ -182,7 +182,7 @@
       return Core.onHello(From, Frame->Header.Routes, *Hello, Now);
   } else if (Frame && Frame->Header.Kind == flows::FrameKind::Policy) {
     if (const auto Policy = flows::unpackPolicy(Frame->Body))
-      return Core.onPolicy(From, *Policy, Now);
+      return Core.onPolicy(From, Frame->Header.Routes, *Policy, Now);
   } else if (Frame && Frame->Header.Kind == flows::FrameKind::Search) {
     const auto Packets = flows::decodeHeaders(Environment.Codec, Frame->Body);
     if (!Packets.empty())
--- a/packages/flows/include/burdockstream/flows/FlowAgent.h
+++ b/packages/flows/include/burdockstream/flows/FlowAgent.h
@@ -19,6 +19,7 @@
 #include "burdockstream/flows/Packet.h"
 #include "burdockstream/flows/ServiceTimeEstimate.h"
 #include "burdockstream/flows/TargetStatus.h"
+#include "burdockstream/flows/WarmupLimit.h"
 
 #include <functional>
 #include <string>
@@ -169,10 +170,11 @@
   void onHello(base::SocketAddress From, base::Revision Routes,
                const Hello &Hello, base::TimePoint Now);
 
-  // Handles a policy that a balancer sends. Ignored if it is for another
-  // failure domain or not newer than the policy in force.
-  void onPolicy(base::SocketAddress From, const TargetPolicy &Policy,
-                base::TimePoint Now);
+  // Handles a policy that a balancer sends, which applies routes of revision
+  // Routes. Ignored if it is for another failure domain; what is older than the
+  // state in force is not applied.
+  void onPolicy(base::SocketAddress From, base::Revision Routes,
+                const TargetPolicy &Policy, base::TimePoint Now);
 
   // Handles a packet that the target sent or returned.
   void onTargetPacket(const Packet &Packet, base::TimePoint Now);
@@ -265,6 +267,12 @@
                      base::TimePoint Now);
   void recordAnswer(FlowRecord &Record, base::TimePoint Now);
   void accountBusyTime(base::TimePoint Now);
+  void applyEvacuation(const DomainEvacuation &Ordered,
+                       base::SocketAddress From, base::TimePoint Now);
+  // Returns whether the limit of the target's warm-up allows one more flow.
+  bool warmupAdmits(base::TimePoint Now) {
+    return Now >= WarmupEnd || Warmup.admits(Now);
+  }
   void recordAbort(const FlowRecord &Record, base::TimePoint Now);
   void onReturned(const Packet &Packet, base::TimePoint Now);
   void answer(base::SocketAddress To, FrameKind Kind, ReturnReason Reason,
@@ -325,6 +333,8 @@
   base::SocketAddress NewestRoutesAt;
   base::TimePoint NewestRoutesSince{};
   DomainEvacuation Evacuation; // of the target's failure domain
+  WarmupLimit Warmup;
+  base::Revision WarmupRoutes = 0; // revision of the routes that define it
 
   uint64_t StatusSequence = 0;
   base::TimePoint NextStatus{};
--- a/packages/flows/include/burdockstream/flows/Frame.h
+++ b/packages/flows/include/burdockstream/flows/Frame.h
@@ -76,11 +76,14 @@
   std::string FailureDomain;
 };
 
-// What operators require of the targets of a failure domain, sent to agents
-// that do not have it. Older agents ignore it.
+// What operators require of an agent's target, sent to agents that do not have
+// it. Older agents ignore it.
 struct TargetPolicy {
   std::string FailureDomain;
   DomainEvacuation Evacuation;
+  // Of the agent's service, as defined by the routes of the frame's revision;
+  // 0: no limit.
+  uint32_t WarmupFlowsPerSecond = 0;
 };
 
 // A decoded datagram; Body refers to the datagram's bytes.
--- a/packages/flows/include/burdockstream/flows/RouteTable.h
+++ b/packages/flows/include/burdockstream/flows/RouteTable.h
@@ -45,6 +45,9 @@
   uint64_t Version = 0;        // version assigned by the operators, for logs
   base::Duration IdleTimeout = std::chrono::seconds(60);
   std::unordered_map<base::SocketAddress, Route> Routes;
+  // New flows per second that a target of the service can take while it warms
+  // up. A service that is missing has no limit.
+  std::unordered_map<base::ServiceId, uint32_t> WarmupFlowsPerSecond;
 
   // Returns the route of Flow, or null. The pointer is valid until Routes
   // changes. Thread safety: any thread.
@@ -54,6 +57,10 @@
   }
 };
 
+// Returns the limit of Service in Table, 0 if it has none. Thread safety: any
+// thread.
+uint32_t warmupLimitOf(const RouteTable &Table, base::ServiceId Service);
+
 // Chooses the service of a new flow in proportion to the weights. The choice is
 // a hash of the flow key, so it is the same in every process. Precondition:
 // Route has a service with a weight above 0; aborts otherwise. Thread safety:
--- a/packages/flows/include/burdockstream/flows/TargetStatus.h
+++ b/packages/flows/include/burdockstream/flows/TargetStatus.h
@@ -48,6 +48,9 @@
   // Remaining time for which the target should get no flows, see
   // OutlierEjection.h.
   uint32_t EjectedMs = 0;
+  // Limit of new flows per second during the warm-up, as far as the agent
+  // knows; 0: none.
+  uint32_t WarmupFlowsPerSecond = 0;
 };
 
 } // namespace burdockstream::flows
--- a/packages/flows/src/AgentOpenings.cpp
+++ b/packages/flows/src/AgentOpenings.cpp
@@ -33,7 +33,7 @@
     return returnOpening(From, Header, Packet, Reason, Now);
   // A further copy of a delivered opening packet must not wait behind others.
   const auto Urgency = urgencyOf(load(), Header.Time);
-  if (admits(load(), Urgency) || Flows.use(Packet.Flow))
+  if ((admits(load(), Urgency) && warmupAdmits(Now)) || Flows.use(Packet.Flow))
     return deliverOpening(From, Header, Packet, Now);
   Held.hold(From, Header, Packet, Now);
   reportDecision(DecisionKind::HeldBack, Reason, Packet.Flow, From, Header,
@@ -55,6 +55,8 @@
 void FlowAgent::deliverOpening(base::SocketAddress From,
                                const FrameHeader &Header, const Packet &Packet,
                                base::TimePoint Now) {
+  if (Now < WarmupEnd && !Flows.use(Packet.Flow))
+    Warmup.record(Now);
   FlowRecord &Record = Flows.insert(Packet.Flow);
   Record.Class = static_cast<WorkClass>(
       std::min<size_t>(Header.WorkClass, WorkClasses - 1));
@@ -71,7 +73,10 @@
 }
 
 void FlowAgent::admitHeld(base::TimePoint Now) {
-  while (auto Next = Held.takeNext(load(), Now)) {
+  while (warmupAdmits(Now)) {
+    auto Next = Held.takeNext(load(), Now);
+    if (!Next)
+      return;
     const ReturnReason Reason = checkOpening(Next->Header, Now);
     if (Reason == ReturnReason::None)
       deliverOpening(Next->Balancer, Next->Header, Next->Stored.packet(), Now);
--- a/packages/flows/src/AgentStatus.cpp
+++ b/packages/flows/src/AgentStatus.cpp
@@ -148,15 +148,28 @@
   sendStatuses(Now, Audience::All);
 }
 
-void FlowAgent::onPolicy(base::SocketAddress From, const TargetPolicy &Policy,
-                         base::TimePoint Now) {
-  if (Policy.FailureDomain != Options.FailureDomain ||
-      Policy.Evacuation.Revision <= Evacuation.Revision)
+void FlowAgent::onPolicy(base::SocketAddress From, base::Revision Routes,
+                         const TargetPolicy &Policy, base::TimePoint Now) {
+  if (Policy.FailureDomain != Options.FailureDomain)
     return;
-  const bool Changed = Policy.Evacuation.Evacuated != Evacuation.Evacuated;
-  Evacuation = Policy.Evacuation;
+  if (Routes >= WarmupRoutes) {
+    Warmup.set(Policy.WarmupFlowsPerSecond);
+    WarmupRoutes = Routes;
+  }
+  applyEvacuation(Policy.Evacuation, From, Now);
+}
+
+void FlowAgent::applyEvacuation(const DomainEvacuation &Ordered,
+                                base::SocketAddress From, base::TimePoint Now) {
+  if (Ordered.Revision <= Evacuation.Revision)
+    return;
+  const bool Changed = Ordered.Evacuated != Evacuation.Evacuated;
+  Evacuation = Ordered;
   if (!Changed)
     return;
+  // The target may have to warm up again; its next heartbeat says so.
+  if (!Evacuation.Evacuated && Warmup.value() > 0)
+    WarmupEnd = std::max(WarmupEnd, Now + Options.HeartbeatOverdue);
   if (Hooks.OnEvacuation)
     Hooks.OnEvacuation(Evacuation, From);
   // Before the held packets, so that balancers do not offer these to other
@@ -203,6 +216,7 @@
   Status.NewestRoutes = NewestRoutes;
   Status.NewestRoutesAt = NewestRoutesAt;
   Status.Evacuation = Evacuation;
+  Status.WarmupFlowsPerSecond = Warmup.value();
   Status.EjectedMs =
       static_cast<uint32_t>(base::toMilliseconds(Ejection.remaining(Now)));
   return Status;
--- a/packages/flows/src/BalancerEvacuations.cpp
+++ b/packages/flows/src/BalancerEvacuations.cpp
@@ -49,12 +49,17 @@
 void FlowBalancer::sendPolicy(const Target &To) {
   const DomainEvacuation Own = Evacuated.of(To.FailureDomain);
   const DomainEvacuation &Reported = To.Status.Evacuation;
-  if (Own.Evacuated == Reported.Evacuated || Own.Revision <= Reported.Revision)
+  const bool NewEvacuation =
+      Own.Evacuated != Reported.Evacuated && Own.Revision > Reported.Revision;
+  const uint32_t Limit = Routes ? warmupLimitOf(*Routes, To.Service) : 0;
+  const bool NewLimit = Limit != To.Status.WarmupFlowsPerSecond &&
+                        routesRevision() >= To.Status.NewestRoutes;
+  if (!NewEvacuation && !NewLimit)
     return;
   FrameHeader Header;
   Header.Kind = FrameKind::Policy;
   Header.Routes = routesRevision();
-  Hooks.SendFrame(To.Agent, Header, packPolicy({To.FailureDomain, Own}));
+  Hooks.SendFrame(To.Agent, Header, packPolicy({To.FailureDomain, Own, Limit}));
 }
 
 } // namespace burdockstream::flows
--- a/packages/flows/src/Frame.cpp
+++ b/packages/flows/src/Frame.cpp
@@ -41,10 +41,10 @@
 using StatusFields =
     std::tuple<uint64_t, uint64_t, base::ServiceId, std::string, uint8_t,
                uint32_t, uint32_t, uint32_t, uint32_t, uint32_t, int64_t,
-               base::SocketAddress, base::Revision, bool, uint32_t>;
+               base::SocketAddress, base::Revision, bool, uint32_t, uint32_t>;
 
 // Wire layout of a policy, in the same way.
-using PolicyFields = std::tuple<std::string, base::Revision, bool>;
+using PolicyFields = std::tuple<std::string, base::Revision, bool, uint32_t>;
 
 template <typename FieldsT> std::vector<uint8_t> packFields(FieldsT Fields) {
   msgpack::sbuffer Buffer;
@@ -134,7 +134,8 @@
       static_cast<uint8_t>(Status.State), Status.Slots, Status.Waiting,
       Status.Flows, Status.WarmupMs, Status.ServiceTimeUs, Status.NewestRoutes,
       Status.NewestRoutesAt, Status.Evacuation.Revision,
-      Status.Evacuation.Evacuated, Status.EjectedMs));
+      Status.Evacuation.Evacuated, Status.EjectedMs,
+      Status.WarmupFlowsPerSecond));
 }
 
 std::optional<TargetStatus> unpackStatus(std::span<const uint8_t> Body) {
@@ -157,13 +158,14 @@
                       std::get<10>(*Fields),
                       std::get<11>(*Fields),
                       {std::get<12>(*Fields), std::get<13>(*Fields)},
-                      std::get<14>(*Fields)};
+                      std::get<14>(*Fields),
+                      std::get<15>(*Fields)};
 }
 
 std::vector<uint8_t> packPolicy(const TargetPolicy &Policy) {
-  return packFields(PolicyFields(Policy.FailureDomain,
-                                 Policy.Evacuation.Revision,
-                                 Policy.Evacuation.Evacuated));
+  return packFields(
+      PolicyFields(Policy.FailureDomain, Policy.Evacuation.Revision,
+                   Policy.Evacuation.Evacuated, Policy.WarmupFlowsPerSecond));
 }
 
 std::optional<TargetPolicy> unpackPolicy(std::span<const uint8_t> Body) {
@@ -171,7 +173,8 @@
   if (!Fields)
     return std::nullopt;
   return TargetPolicy{std::get<0>(*Fields),
-                      {std::get<1>(*Fields), std::get<2>(*Fields)}};
+                      {std::get<1>(*Fields), std::get<2>(*Fields)},
+                      std::get<3>(*Fields)};
 }
 
 } // namespace burdockstream::flows
--- a/packages/flows/src/RouteTable.cpp
+++ b/packages/flows/src/RouteTable.cpp
@@ -20,6 +20,11 @@
 
 std::string_view toString(WorkClass Class) { return ClassNames.name(Class); }
 
+uint32_t warmupLimitOf(const RouteTable &Table, base::ServiceId Service) {
+  const auto Found = Table.WarmupFlowsPerSecond.find(Service);
+  return Found == Table.WarmupFlowsPerSecond.end() ? 0 : Found->second;
+}
+
 base::ServiceId chooseService(const Route &Route, const FlowKey &Flow) {
   CHECK(!Route.Services.empty());
   uint64_t Total = 0;
--- a/packages/flows/test/FlowFixture.cpp
+++ b/packages/flows/test/FlowFixture.cpp
@@ -160,6 +160,7 @@
     std::optional<RequestTime> Time) {
   auto Table = std::make_shared<RouteTable>();
   Table->Revision = Revision;
+  Table->WarmupFlowsPerSecond = WarmupFlowsPerSecond;
   for (const auto &[Address, Service] : Routes)
     Table->Routes[Address] = {
         "route", {{base::serviceIdOf(Service), 1}}, {}, Class, Time};
@@ -186,6 +187,7 @@
   Beat.StartedAtMs = Place.StartedAtMs;
   Beat.Sequence = ++Place.HeartbeatsSent;
   Beat.Slots = 2;
+  Beat.WarmupMs = Place.WarmupMs;
   Place.Core->onHeartbeat(Beat, Now);
 }
 
@@ -267,7 +269,8 @@
                                   headers(Delivered.Body));
   if (Delivered.Header.Kind == FrameKind::Policy) {
     if (const auto Policy = unpackPolicy(Delivered.Body))
-      Place.Core->onPolicy(Delivered.From, *Policy, Now);
+      Place.Core->onPolicy(Delivered.From, Delivered.Header.Routes, *Policy,
+                           Now);
     return;
   }
   if (Delivered.Header.Kind != FrameKind::Hello)
--- a/packages/flows/test/FlowFixture.h
+++ b/packages/flows/test/FlowFixture.h
@@ -64,6 +64,7 @@
   int Probes = 0;
   uint64_t HeartbeatsSent = 0;
   int64_t StartedAtMs = 1000;
+  uint32_t WarmupMs = 0; // in its heartbeats
 };
 
 struct SimulatedBalancer {
@@ -126,6 +127,8 @@
   // Handles BalancerHooks::CatchUp; if empty, the balancer is up to date at
   // once.
   std::function<void(size_t Balancer, ViewPart)> CatchUp;
+  // For routes set from now on.
+  std::unordered_map<base::ServiceId, uint32_t> WarmupFlowsPerSecond;
   double LinkBytesPerSecond = 125e6; // for balancers created from now on
   PacketRegistry Registry;
   base::TimePoint Now = base::TimePoint(std::chrono::seconds(100));
--- a/packages/flows/test/FrameTest.cpp
+++ b/packages/flows/test/FrameTest.cpp
@@ -56,9 +56,12 @@
   Status.Evacuation = {88, true};
   std::vector<uint8_t> Body = packStatus(Status);
   constexpr uint8_t FixedArray = 0x90; // msgpack: an array of up to 15 elements
-  ASSERT_EQ(Body[0], FixedArray | 15);
+  constexpr uint8_t Array16 = 0xDC;    // followed by a 16-bit length
+  ASSERT_EQ(Body[0], Array16);
+  ASSERT_EQ(Body[2], 16);
+  Body.erase(Body.begin(), Body.begin() + 2);
   Body[0] = FixedArray | 12;
-  Body.resize(Body.size() - 3); // the last three fields take one byte each
+  Body.resize(Body.size() - 4); // the last fields take one byte each
   const auto Read = unpackStatus(Body);
   ASSERT_TRUE(Read.has_value());
   EXPECT_EQ(Read->Slots, 6U);
@@ -66,10 +69,11 @@
 }
 
 TEST(FrameTest, CarriesAPolicy) {
-  const auto Read = unpackPolicy(packPolicy({"bc-kam", {88, true}}));
+  const auto Read = unpackPolicy(packPolicy({"bc-kam", {88, true}, 9}));
   ASSERT_TRUE(Read.has_value());
   EXPECT_EQ(Read->FailureDomain, "bc-kam");
   EXPECT_EQ(Read->Evacuation, (DomainEvacuation{88, true}));
+  EXPECT_EQ(Read->WarmupFlowsPerSecond, 9U);
 }
 
 TEST(FrameTest, CarriesAHello) {
