--- a/packages/flowd/src/FlowReports.cpp
+++ b/packages/flowd/src/FlowReports.cpp
@@ -179,6 +179,7 @@
   Report["routes_revision"] = Json::Int64(Core.newestRoutes());
   Report["ejected_for_ms"] =
       Json::Int64(base::toMilliseconds(Core.ejectedFor(Now)));
+  Report["warmup_flows_per_second"] = Core.warmupLimit();
   Report["evacuated"] = Core.evacuation().Evacuated;
   Report["evacuation_revision"] = Json::Int64(Core.evacuation().Revision);
   return Report;
--- a/packages/flows/include/burdockstream/flows/FlowAgent.h
+++ b/packages/flows/include/burdockstream/flows/FlowAgent.h
@@ -206,6 +206,9 @@
   uint32_t slots() const { return Slots; }
   base::Revision newestRoutes() const { return NewestRoutes; }
   const DomainEvacuation &evacuation() const { return Evacuation; }
+  // New flows per second that the target may get while it warms up, 0: no
+  // limit.
+  uint32_t warmupLimit() const { return Warmup.value(); }
   base::Duration ejectedFor(base::TimePoint Now) const {
     return Ejection.remaining(Now);
   }
--- a/packages/flows/include/burdockstream/flows/FlowBalancer.h
+++ b/packages/flows/include/burdockstream/flows/FlowBalancer.h
@@ -85,6 +85,9 @@
 // Interval between hellos to an agent with a subscription.
 inline constexpr base::Duration HelloInterval = std::chrono::milliseconds(800);
 
+// Minimum interval between policies to an agent that does not confirm them.
+inline constexpr base::Duration PolicyInterval = std::chrono::milliseconds(200);
+
 // The list of agents counts as settled when it has not changed for this long,
 // since it refills after an outage in which entries expired. Only with a
 // settled list do the answers of all agents prove that a flow is not held.
@@ -292,7 +295,7 @@
                            base::SocketAddress Source, base::TimePoint Now);
   // Updates Target::Evacuated after a change of the target's failure domain.
   void markEvacuated(base::SocketAddress Agent);
-  void sendPolicy(const Target &To);
+  void sendPolicy(Target &To, base::TimePoint Now);
   bool isSettled(base::TimePoint Now) const;
   bool isCaughtUp(ViewPart Part, base::TimePoint Since, base::TimePoint Now);
   void recordListChange(base::TimePoint Now);
--- a/packages/flows/include/burdockstream/flows/TargetTable.h
+++ b/packages/flows/include/burdockstream/flows/TargetTable.h
@@ -50,6 +50,7 @@
   bool Subscribed = false;
   base::TimePoint SubscribedSince{};
   base::TimePoint NextHello{};
+  base::TimePoint NextPolicy{};
   // When a packet was last sent to the agent, or its answer was last awaited.
   base::TimePoint LastUsed{};
   TargetStatus Status;
--- a/packages/flows/src/BalancerEvacuations.cpp
+++ b/packages/flows/src/BalancerPolicies.cpp
@@ -1,5 +1,5 @@
-// The balancer's view of evacuated failure domains, and the policies that pass
-// it on to agents.
+// The balancer's view of evacuated failure domains, and the policies through
+// which agents learn what operators require of their targets.
 #include "burdockstream/flows/FlowBalancer.h"
 
 namespace burdockstream::flows {
@@ -32,7 +32,8 @@
   for (const auto &Each : Targets.all())
     if (Each && Each->FailureDomain == Domain) {
       Each->Evacuated = State.Evacuated;
-      sendPolicy(*Each);
+      Each->NextPolicy = Now;
+      sendPolicy(*Each, Now);
     }
   ReplayPending = true;
   NextSubscriptionUpdate = Now; // flows move to other targets
@@ -46,7 +47,9 @@
 }
 
 // Does nothing if the agent has the same or a newer state.
-void FlowBalancer::sendPolicy(const Target &To) {
+void FlowBalancer::sendPolicy(Target &To, base::TimePoint Now) {
+  if (Now < To.NextPolicy)
+    return;
   const DomainEvacuation Own = Evacuated.of(To.FailureDomain);
   const DomainEvacuation &Reported = To.Status.Evacuation;
   const bool NewEvacuation =
@@ -56,6 +59,7 @@
                         routesRevision() >= To.Status.NewestRoutes;
   if (!NewEvacuation && !NewLimit)
     return;
+  To.NextPolicy = Now + PolicyInterval;
   FrameHeader Header;
   Header.Kind = FrameKind::Policy;
   Header.Routes = routesRevision();
--- a/packages/flows/src/FlowBalancer.cpp
+++ b/packages/flows/src/FlowBalancer.cpp
@@ -263,12 +263,12 @@
                             const TargetStatus &Status, base::TimePoint Now) {
   const Target *Known = Targets.at(Targets.indexOf(Agent));
   const bool AcceptedFlows = Known && acceptsFlows(*Known, Now);
-  const Target *Updated = Targets.update(Agent, Status, Now);
+  Target *Updated = Targets.update(Agent, Status, Now);
   if (!Updated)
     return;
   onEvacuationReported(Agent, Status, Now);
   markEvacuated(Agent);
-  sendPolicy(*Updated);
+  sendPolicy(*Updated, Now);
   ReplayPending =
       ReplayPending || (!AcceptedFlows && acceptsFlows(*Updated, Now));
   if (Status.NewestRoutes > routesRevision() && Hooks.OnNewerRoutes)
@@ -314,7 +314,7 @@
     if (!Each || !Each->Subscribed || Now < Each->NextHello)
       continue;
     Hooks.SendFrame(Each->Agent, Header, Each->Listed ? Listed : Missing);
-    sendPolicy(*Each);
+    sendPolicy(*Each, Now);
     Each->NextHello = Now + HelloInterval;
   }
 }
