--- a/bench/losses/losses.py
+++ b/bench/losses/losses.py
@@ -45,10 +45,10 @@
 
 
 def outage_of(site_day, report):
-    """Returns start and end of the closing fault, or None."""
+    """Returns start and end of a closing loss of power, or None."""
     closing = site_day.get("closing")
-    if not closing:
-        return None
+    if not closing or closing["kind"] != "power_off_all":
+        return None  # targets outlive other faults, which the model does not cover
     start = next(e["at_s"] for e in report["events"] if e["kind"].startswith("closing"))
     return start, start + closing["down_s"] + RESTART_S
 
