Log full reads of the store and configurations that are ignored

Change: store_read names the era, the revision and the number of keys of each full read; routes_ignored names the version and revision of a configuration that is not applied and of the one in force. Ruled out: a line for each answer of the store, which is not bounded.

--- a/packages/flowd/src/BalancerDaemon.h
+++ b/packages/flowd/src/BalancerDaemon.h
@@ -50,6 +50,9 @@
   void logIgnoredEvacuations(size_t Count);
   ReportSources reports();
   void updateStoreFreshness();
+  void logIgnoredRoutes(const std::string &Text, base::Revision Revision,
+                        const std::string &Source);
+  void logStoreRead(const char *WatchName, const store::RangeReply &Reply);
   void logStoreEvent(const char *Event, const char *WatchName,
                      const base::Error *Reason);
   // Queries the next peer in the settings for its whole state.
--- a/packages/flowd/src/BalancerStoreView.cpp
+++ b/packages/flowd/src/BalancerStoreView.cpp
@@ -26,6 +26,7 @@
 WatchHooks BalancerDaemon::routesHooks() {
   WatchHooks Hooks = storeHooks("routes");
   Hooks.OnSnapshot = [this](const store::RangeReply &Reply) {
+    logStoreRead("routes", Reply);
     std::set<std::string> Evacuated;
     for (const store::KeyValue &Each : Reply.Values)
       if (Each.Key == Environment.RoutesKey)
@@ -83,6 +84,7 @@
 WatchHooks BalancerDaemon::agentsHooks() {
   WatchHooks Hooks = storeHooks("agents");
   Hooks.OnSnapshot = [this](const store::RangeReply &Reply) {
+    logStoreRead("agents", Reply);
     std::vector<flows::AgentEntry> Entries;
     for (const store::KeyValue &Each : Reply.Values) {
       auto Entry = parseEntry(Each.Key, Each.Value);
@@ -117,8 +119,11 @@
                                  base::Revision Revision,
                                  const std::string &Source) {
   const base::Now Now = readClocks();
-  if (Core.routes() && Revision <= Core.routesRevision())
+  if (Core.routes() && Revision <= Core.routesRevision()) {
+    if (Revision < Core.routesRevision())
+      logIgnoredRoutes(Text, Revision, Source);
     return;
+  }
   Json::Value Fields;
   Fields["revision"] = Json::Int64(Revision);
   Fields["source"] = Source;
@@ -137,6 +142,31 @@
   tick(); // announces the new revision to agents without delay
 }
 
+void BalancerDaemon::logIgnoredRoutes(const std::string &Text,
+                                      base::Revision Revision,
+                                      const std::string &Source) {
+  Json::Value Fields;
+  Fields["revision"] = Json::Int64(Revision);
+  Fields["source"] = Source;
+  const auto Table = Environment.ParseRoutes(Text);
+  if (Table.has_value())
+    Fields["version"] = Json::UInt64(Table.value().Version);
+  Fields["revision_in_force"] = Json::Int64(Core.routesRevision());
+  Fields["version_in_force"] = Json::UInt64(Core.routes()->Version);
+  Log.write(LogPriority::Process, "routes_ignored", Fields, readClocks());
+}
+
+// A full read is rare: at the start and after each lost watch.
+void BalancerDaemon::logStoreRead(const char *WatchName,
+                                  const store::RangeReply &Reply) {
+  Json::Value Fields;
+  Fields["watch"] = WatchName;
+  Fields["era"] = Json::Int64(Reply.StoreEra);
+  Fields["revision"] = Json::Int64(Reply.StoreRevision);
+  Fields["keys"] = Json::UInt64(Reply.Values.size());
+  Log.write(LogPriority::Process, "store_read", Fields, readClocks());
+}
+
 void BalancerDaemon::logStoreEvent(const char *Event, const char *WatchName,
                                    const base::Error *Reason) {
   Json::Value Fields;
--- a/packages/http/include/burdockstream/http/HttpClient.h
+++ b/packages/http/include/burdockstream/http/HttpClient.h
@@ -10,6 +10,7 @@
 #include <functional>
 #include <json/value.h>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -36,6 +37,11 @@
 struct HttpResponse {
   unsigned Status = 0;
   std::string Body;
+  std::vector<HttpHeader> Headers = {};
+
+  // Returns the value of the first header called Name, regardless of case, or
+  // nothing. Thread safety: any thread.
+  std::optional<std::string> header(const std::string &Name) const;
 };
 
 using ResponseCallback = std::function<void(base::Result<HttpResponse>)>;
--- a/packages/http/src/HttpClient.cpp
+++ b/packages/http/src/HttpClient.cpp
@@ -54,6 +54,18 @@
   return internal::parseJsonResponse(Response.Body);
 }
 
+std::vector<HttpHeader> readHeaders(SoupMessage *Message) {
+  std::vector<HttpHeader> Result;
+  SoupMessageHeadersIter Position;
+  soup_message_headers_iter_init(&Position,
+                                 soup_message_get_response_headers(Message));
+  const char *Name = nullptr;
+  const char *Value = nullptr;
+  while (soup_message_headers_iter_next(&Position, &Name, &Value) != FALSE)
+    Result.push_back({Name, Value});
+  return Result;
+}
+
 void finishCall(GObject *Source, GAsyncResult *AsyncResult, gpointer Data) {
   const std::unique_ptr<Call> Pending(static_cast<Call *>(Data));
   GError *Cause = nullptr;
@@ -67,13 +79,21 @@
   gsize Size = 0;
   const auto *Text = static_cast<const char *>(g_bytes_get_data(Body, &Size));
   HttpResponse Response{soup_message_get_status(Pending->Message),
-                        std::string(Text ? Text : "", Size)};
+                        std::string(Text ? Text : "", Size),
+                        readHeaders(Pending->Message)};
   g_bytes_unref(Body);
   Pending->Callback(std::move(Response));
 }
 
 } // namespace
 
+std::optional<std::string> HttpResponse::header(const std::string &Name) const {
+  for (const HttpHeader &Each : Headers)
+    if (g_ascii_strcasecmp(Each.Name.c_str(), Name.c_str()) == 0)
+      return Each.Value;
+  return std::nullopt;
+}
+
 HttpClient::HttpClient()
     // Daemons and stores are reached directly by IP address. The default proxy
     // resolver would load the desktop settings.
--- a/packages/store/include/burdockstream/store/Store.h
+++ b/packages/store/include/burdockstream/store/Store.h
@@ -10,6 +10,7 @@
 #include "burdockstream/base/Metrics.h"
 #include "burdockstream/base/Time.h"
 #include "burdockstream/http/HttpClient.h"
+#include "burdockstream/store/StoreEra.h"
 
 #include <cstdint>
 #include <functional>
@@ -30,6 +31,7 @@
 };
 
 struct RangeReply {
+  Era StoreEra = UnknownEra;
   base::Revision StoreRevision = 0;
   std::vector<KeyValue> Values;
 };
