Order revisions across the eras of the store

Cause: a store that returns from an older copy gives revisions out again. The configuration written behind the return had revision 18, the one in force 23, and balancers, agents and peers apply only a higher one. Evacuations and warm-up limits are ordered in the same way.

Evidence: the trial with the new log lines has routes_ignored with version 31 at revision 18 and version 27 at 23 in force; the store's answers name era 4. Ruled out: the copy's older configuration is read (the first read of each era has the newest version), and a watch that goes on (each return ends in a full read).

Change: the adapter reads Store-Era and turns each revision into an ordered one with the era in its upper bits. In the first era the numbers are unchanged.

--- a/packages/base/include/burdockstream/base/Ids.h
+++ b/packages/base/include/burdockstream/base/Ids.h
@@ -32,7 +32,8 @@
 // Generation of a bucket's ownership; it rises with every change of owner.
 using Epoch = uint64_t;
 
-// Revision that the store gives to a key when it is written.
+// Revision that the store gives to a key when it is written. Where a store may
+// return from an older copy, it is an ordered one, see StoreEra.h.
 using Revision = int64_t;
 
 // Returns the identifier of the service called Name. Thread safety: any thread.
--- a/packages/flowd/src/BalancerStoreView.cpp
+++ b/packages/flowd/src/BalancerStoreView.cpp
@@ -3,6 +3,7 @@
 #include "BalancerDaemon.h"
 
 #include "BootClock.h"
+#include "burdockstream/base/StoreEra.h"
 #include "burdockstream/flowd/AgentEntries.h"
 
 #include <algorithm>
@@ -161,7 +162,7 @@
                                   const store::RangeReply &Reply) {
   Json::Value Fields;
   Fields["watch"] = WatchName;
-  Fields["era"] = Json::Int64(Reply.StoreEra);
+  Fields["era"] = Json::Int64(base::eraOf(Reply.StoreRevision));
   Fields["revision"] = Json::Int64(Reply.StoreRevision);
   Fields["keys"] = Json::UInt64(Reply.Values.size());
   Log.write(LogPriority::Process, "store_read", Fields, readClocks());
--- a/packages/store/include/burdockstream/store/Store.h
+++ b/packages/store/include/burdockstream/store/Store.h
@@ -1,7 +1,8 @@
 // Interface of a key-value store, independent of the product that serves it.
 // All calls are asynchronous on the GLib main loop. An error of kind
 // Unavailable means that the call had no effect, OutcomeUnknown that it may
-// have taken effect.
+// have taken effect. Revisions are ordered across the eras of the store, see
+// base/StoreEra.h.
 #ifndef BURDOCKSTREAM_STORE_STORE_H
 #define BURDOCKSTREAM_STORE_STORE_H
 
@@ -10,7 +11,6 @@
 #include "burdockstream/base/Metrics.h"
 #include "burdockstream/base/Time.h"
 #include "burdockstream/http/HttpClient.h"
-#include "burdockstream/store/StoreEra.h"
 
 #include <cstdint>
 #include <functional>
@@ -31,7 +31,6 @@
 };
 
 struct RangeReply {
-  Era StoreEra = UnknownEra;
   base::Revision StoreRevision = 0;
   std::vector<KeyValue> Values;
 };
