Keep newer routes when the store returns with an older configuration

Cause: a later era is not a newer configuration. Ruled out: refusing the copy and keeping the revision of the earlier era, because agents then return the packets of this balancer as outdated once another one has started from the copy.

Change: within an era the revision decides, across eras the operators' version, which increases. Routes that stay in force take the revision of the later era. routes_ignored covers both.

--- a/packages/flowd/src/BalancerDaemon.h
+++ b/packages/flowd/src/BalancerDaemon.h
@@ -37,7 +37,8 @@
   base::Result<void> openSockets();
   void onFrame(std::span<uint8_t> Datagram, base::SocketAddress From);
   void onRequest(const http::ServerRequest &Request, http::Responder &Out);
-  // Applies the routes in Text unless routes at least as new are in force.
+  // Applies the routes in Text unless routes at least as new are in force, and
+  // logs the outcome.
   // Source names their origin in the log.
   void applyRoutes(const std::string &Text, base::Revision Revision,
                    const std::string &Source);
@@ -50,8 +51,6 @@
   void logIgnoredEvacuations(size_t Count);
   ReportSources reports();
   void updateStoreFreshness();
-  void logIgnoredRoutes(const std::string &Text, base::Revision Revision,
-                        const std::string &Source);
   void logStoreRead(const char *WatchName, const store::RangeReply &Reply);
   void logStoreEvent(const char *Event, const char *WatchName,
                      const base::Error *Reason);
--- a/packages/flowd/src/BalancerStoreView.cpp
+++ b/packages/flowd/src/BalancerStoreView.cpp
@@ -120,11 +120,8 @@
                                  base::Revision Revision,
                                  const std::string &Source) {
   const base::Now Now = readClocks();
-  if (Core.routes() && Revision <= Core.routesRevision()) {
-    if (Revision < Core.routesRevision())
-      logIgnoredRoutes(Text, Revision, Source);
+  if (Core.routes() && Revision == Core.routesRevision())
     return;
-  }
   Json::Value Fields;
   Fields["revision"] = Json::Int64(Revision);
   Fields["source"] = Source;
@@ -136,27 +133,20 @@
   Table.value().Revision = Revision;
   Fields["version"] = Json::UInt64(Table.value().Version);
   Fields["routes"] = Json::UInt64(Table.value().Routes.size());
-  Core.setRoutes(std::make_shared<flows::RouteTable>(std::move(Table.value())),
-                 Now.Monotonic);
-  RoutesText = Text;
-  Log.write(LogPriority::Process, "routes_applied", Fields, Now);
+  if (Core.routes()) {
+    Fields["revision_before"] = Json::Int64(Core.routesRevision());
+    Fields["version_before"] = Json::UInt64(Core.routes()->Version);
+  }
+  const bool Applied = Core.setRoutes(
+      std::make_shared<flows::RouteTable>(std::move(Table.value())),
+      Now.Monotonic);
+  Log.write(LogPriority::Process, Applied ? "routes_applied" : "routes_ignored",
+            Fields, Now);
+  if (Applied)
+    RoutesText = Text;
   tick(); // announces the new revision to agents without delay
 }
 
-void BalancerDaemon::logIgnoredRoutes(const std::string &Text,
-                                      base::Revision Revision,
-                                      const std::string &Source) {
-  Json::Value Fields;
-  Fields["revision"] = Json::Int64(Revision);
-  Fields["source"] = Source;
-  const auto Table = Environment.ParseRoutes(Text);
-  if (Table.has_value())
-    Fields["version"] = Json::UInt64(Table.value().Version);
-  Fields["revision_in_force"] = Json::Int64(Core.routesRevision());
-  Fields["version_in_force"] = Json::UInt64(Core.routes()->Version);
-  Log.write(LogPriority::Process, "routes_ignored", Fields, readClocks());
-}
-
 // A full read is rare: at the start and after each lost watch.
 void BalancerDaemon::logStoreRead(const char *WatchName,
                                   const store::RangeReply &Reply) {
--- a/packages/flows/include/burdockstream/flows/FlowBalancer.h
+++ b/packages/flows/include/burdockstream/flows/FlowBalancer.h
@@ -123,8 +123,10 @@
         TrialByteBucket(
             linkShareBucket(TrialLinkShare, Self.LinkBytesPerSecond)) {}
 
-  // Applies Table if its revision is higher than that of the routes in force.
-  // Returns whether it was applied. Precondition: Table is not null.
+  // Applies Table if it is newer than the routes in force, see isNewer(), and
+  // returns whether it was applied. If it is not, but has a higher revision,
+  // the routes in force take that revision: they are valid in the later era,
+  // too. Precondition: Table is not null.
   bool setRoutes(std::shared_ptr<const RouteTable> Table, base::TimePoint Now);
 
   // Apply the store's list of agents: the complete list, an added or changed
--- a/packages/flows/include/burdockstream/flows/RouteTable.h
+++ b/packages/flows/include/burdockstream/flows/RouteTable.h
@@ -42,7 +42,7 @@
 
 struct RouteTable {
   base::Revision Revision = 0; // store revision at which the table was written
-  uint64_t Version = 0;        // version assigned by the operators, for logs
+  uint64_t Version = 0;        // assigned by the operators; increases
   base::Duration IdleTimeout = std::chrono::seconds(60);
   std::unordered_map<base::SocketAddress, Route> Routes;
   // New flows per second that a target of the service can take while it warms
@@ -67,6 +67,12 @@
 // any thread.
 base::ServiceId chooseService(const Route &Route, const FlowKey &Flow);
 
+// Returns whether Candidate holds a newer configuration than InForce. Within an
+// era of the store the revision decides. Across eras the operators' version
+// does: the store may hold an older configuration at a revision of a later era
+// until the operators write the newest one again. Thread safety: any thread.
+bool isNewer(const RouteTable &Candidate, const RouteTable &InForce);
+
 // Adds to FormerServices of each route in Newer the current and former services
 // that the same route has in Older and that Newer does not use. Not
 // thread-safe.
--- a/packages/flows/src/FlowBalancer.cpp
+++ b/packages/flows/src/FlowBalancer.cpp
@@ -7,21 +7,23 @@
 
 bool FlowBalancer::setRoutes(std::shared_ptr<const RouteTable> Table,
                              base::TimePoint Now) {
-  if (Routes && Table->Revision <= Routes->Revision)
+  const bool Newer = !Routes || isNewer(*Table, *Routes);
+  if (!Newer && Table->Revision <= Routes->Revision)
     return false;
-  if (Routes) {
-    auto Merged = std::make_shared<RouteTable>(*Table);
-    mergeFormerServices(*Routes, *Merged);
-    Table = std::move(Merged);
+  auto Next = std::make_shared<RouteTable>(Newer ? *Table : *Routes);
+  Next->Revision = std::max(Table->Revision, routesRevision());
+  if (Newer) {
+    if (Routes)
+      mergeFormerServices(*Routes, *Next);
+    RoutesSince = Now;
   }
-  Routes = std::move(Table);
-  RoutesSince = Now;
+  Routes = std::move(Next);
   ReplayPending = true;
   // Send the new revision to agents at once.
   for (const auto &Each : Targets.all())
     if (Each)
       Each->NextHello = Now;
-  return true;
+  return Newer;
 }
 
 void FlowBalancer::setAgentEntries(const std::vector<AgentEntry> &Entries,
--- a/packages/flows/src/RouteTable.cpp
+++ b/packages/flows/src/RouteTable.cpp
@@ -1,6 +1,7 @@
 #include "burdockstream/flows/RouteTable.h"
 
 #include "burdockstream/base/NameTable.h"
+#include "burdockstream/base/StoreEra.h"
 
 #include <algorithm>
 #include <glog/logging.h>
@@ -40,6 +41,13 @@
   return Route.Services.back().Service;
 }
 
+bool isNewer(const RouteTable &Candidate, const RouteTable &InForce) {
+  if (base::eraOf(Candidate.Revision) != base::eraOf(InForce.Revision) &&
+      Candidate.Version != InForce.Version)
+    return Candidate.Version > InForce.Version;
+  return Candidate.Revision > InForce.Revision;
+}
+
 void mergeFormerServices(const RouteTable &Older, RouteTable &Newer) {
   for (auto &[Address, Route] : Newer.Routes) {
     const auto Known = Older.Routes.find(Address);
--- a/packages/flows/test/FlowFixture.cpp
+++ b/packages/flows/test/FlowFixture.cpp
@@ -160,6 +160,7 @@
     std::optional<RequestTime> Time) {
   auto Table = std::make_shared<RouteTable>();
   Table->Revision = Revision;
+  Table->Version = RoutesVersion;
   Table->WarmupFlowsPerSecond = WarmupFlowsPerSecond;
   for (const auto &[Address, Service] : Routes)
     Table->Routes[Address] = {
--- a/packages/flows/test/FlowFixture.h
+++ b/packages/flows/test/FlowFixture.h
@@ -128,6 +128,7 @@
   // once.
   std::function<void(size_t Balancer, ViewPart)> CatchUp;
   // For routes set from now on.
+  uint64_t RoutesVersion = 0;
   std::unordered_map<base::ServiceId, uint32_t> WarmupFlowsPerSecond;
   double LinkBytesPerSecond = 125e6; // for balancers created from now on
   PacketRegistry Registry;
