--- a/packages/store/include/burdockstream/store/Store.h
+++ b/packages/store/include/burdockstream/store/Store.h
@@ -125,7 +125,7 @@
 
   // Opens a watch, which lasts until the returned object is destroyed or OnEnd
   // is called. OnEnd receives NotFound if the store no longer has the history
-  // since StartRevision.
+  // since StartRevision, or has returned from an older copy.
   virtual std::unique_ptr<Watch> watch(const WatchRequest &Request,
                                        WatchCallback OnEvent,
                                        WatchEndCallback OnEnd) = 0;
