Register agents under a new lease in each era of the store

Tests show an agent whose entry stays missing and an agent whose end removes the entry of another one.

Cause: a store that returns from an older copy gives leases out again. An agent that was registered after the copy renews a lease that now belongs to another agent, which succeeds, so it never writes its entry again; when it ends it removes the other's entry. Ruled out: relying on balancers that report a missing entry, since they list an agent that sends statuses only after they have read without it, and the wrong lease stays.

Change: a lease is valid in the era in which it was granted. A reply in another era makes the agent request a new lease and write its entry under it, also while it ends.

--- a/packages/flowd/include/burdockstream/flowd/AgentRegistration.h
+++ b/packages/flowd/include/burdockstream/flowd/AgentRegistration.h
@@ -1,6 +1,6 @@
 // Registers an agent in the store: grants a lease, writes the agent's entry
 // under it, renews the lease, and registers again if the lease or the entry is
-// lost.
+// lost, or the store has returned from an older copy.
 #ifndef BURDOCKSTREAM_FLOWD_AGENTREGISTRATION_H
 #define BURDOCKSTREAM_FLOWD_AGENTREGISTRATION_H
 
@@ -61,6 +61,14 @@
   void write();
   void renew();
   void fail(const base::Error &Reason);
+  void reportLost(const base::Error &Reason);
+  // Handles the reply to a call that used UsedLease. Returns whether the
+  // registration goes on under that lease; otherwise another call already
+  // replaces it, or a new one is requested here.
+  bool keepsLease(store::LeaseId UsedLease);
+  // Writes the ended entry under EndingLease, and then ends the lease.
+  void writeEnded(store::LeaseId EndingLease, base::Era GrantedIn,
+                  std::function<void()> Done);
   // Runs Action after Delay; replaces an action that is already scheduled.
   void schedule(base::Duration Delay, std::function<void()> Action);
   template <typename FunctionT> auto ifAlive(FunctionT Run);
@@ -69,8 +77,9 @@
   RegistrationHooks Hooks;
   flows::AgentEntry Entry;
   store::LeaseId Lease = store::NoLease;
-  bool Lost = false;    // the last call failed
-  bool Writing = false; // a write of the entry is in progress
+  base::Era LeaseEra = base::FirstEra; // in which Lease was granted
+  bool Lost = false;                   // the last call failed
+  bool Writing = false;                // a write of the entry is in progress
   guint Timer = 0;
   // Expires with the object; pending callbacks hold weak references to it.
   std::shared_ptr<int> LifetimeToken = std::make_shared<int>(0);
--- a/packages/flowd/src/AgentRegistration.cpp
+++ b/packages/flowd/src/AgentRegistration.cpp
@@ -48,6 +48,7 @@
                      if (Reply.has_error())
                        return fail(Reply.error());
                      Lease = Reply.value().Lease;
+                     LeaseEra = Store.era();
                      write();
                    }));
 }
@@ -55,8 +56,10 @@
 void AgentRegistration::write() {
   Writing = true;
   Store.put({formatEntryKey(Entry.Agent), formatEntryValue(Entry), Lease},
-            ifAlive([this](base::Result<void> Reply) {
+            ifAlive([this, UsedLease = Lease](base::Result<void> Reply) {
               Writing = false;
+              if (!keepsLease(UsedLease))
+                return;
               if (Reply.has_error())
                 return fail(Reply.error());
               Lost = false;
@@ -67,7 +70,10 @@
 }
 
 void AgentRegistration::renew() {
-  Store.keepAlive(Lease, ifAlive([this](base::Result<store::LeaseReply> Reply) {
+  Store.keepAlive(Lease, ifAlive([this, UsedLease = Lease](
+                                     base::Result<store::LeaseReply> Reply) {
+                    if (!keepsLease(UsedLease))
+                      return;
                     if (Reply.has_error())
                       return fail(Reply.error());
                     Lost = false;
@@ -75,9 +81,28 @@
                   }));
 }
 
-void AgentRegistration::fail(const base::Error &Reason) {
+bool AgentRegistration::keepsLease(store::LeaseId UsedLease) {
+  if (UsedLease != Lease)
+    return false;
+  if (Store.era() == LeaseEra)
+    return true;
+  reportLost(base::makeError(base::ErrorKind::NotFound,
+                             "the store has returned from an older copy; the "
+                             "entry is written again under a new lease"));
+  Lease = store::NoLease;
+  if (Timer != 0)
+    g_source_remove(std::exchange(Timer, 0));
+  grant();
+  return false;
+}
+
+void AgentRegistration::reportLost(const base::Error &Reason) {
   if (!std::exchange(Lost, true) && Hooks.OnLost)
     Hooks.OnLost(Reason);
+}
+
+void AgentRegistration::fail(const base::Error &Reason) {
+  reportLost(Reason);
   if (Reason.Kind == base::ErrorKind::NotFound)
     Lease = store::NoLease;
   // A failed write may have taken effect; repeating it is idempotent.
@@ -100,13 +125,29 @@
   if (Timer != 0)
     g_source_remove(std::exchange(Timer, 0));
   Entry.Ended = true;
-  const store::LeaseId EndingLease = std::exchange(Lease, store::NoLease);
-  // A failure to end the lease is ignored: the lease expires on its own.
-  const auto EndLease = [this, EndingLease, Run = std::move(Done)] {
-    Store.endLease(EndingLease, [Run](const base::Result<void> &) { Run(); });
+  writeEnded(std::exchange(Lease, store::NoLease), LeaseEra, std::move(Done));
+}
+
+void AgentRegistration::writeEnded(store::LeaseId EndingLease,
+                                   base::Era GrantedIn,
+                                   std::function<void()> Done) {
+  const auto OnWritten = [this, EndingLease, GrantedIn,
+                          Run = std::move(Done)](const base::Result<void> &) {
+    // A failure to end the lease is ignored: the lease expires on its own.
+    if (Store.era() == GrantedIn)
+      return Store.endLease(EndingLease,
+                            [Run](const base::Result<void> &) { Run(); });
+    // The lease may be that of another agent by now.
+    Store.grantLease(
+        EntryLeaseTtl,
+        ifAlive([this, Run](base::Result<store::LeaseReply> Reply) {
+          if (Reply.has_error())
+            return Run();
+          writeEnded(Reply.value().Lease, Store.era(), Run);
+        }));
   };
   Store.put({formatEntryKey(Entry.Agent), formatEntryValue(Entry), EndingLease},
-            ifAlive([EndLease](const base::Result<void> &) { EndLease(); }));
+            ifAlive(OnWritten));
 }
 
 } // namespace burdockstream::flowd
--- a/packages/store/include/burdockstream/store/Store.h
+++ b/packages/store/include/burdockstream/store/Store.h
@@ -9,6 +9,7 @@
 #include "burdockstream/base/Error.h"
 #include "burdockstream/base/Ids.h"
 #include "burdockstream/base/Metrics.h"
+#include "burdockstream/base/StoreEra.h"
 #include "burdockstream/base/Time.h"
 #include "burdockstream/http/HttpClient.h"
 
@@ -131,6 +132,11 @@
                                        WatchEndCallback OnEnd) = 0;
 
   virtual const CallCounters &counters() const = 0;
+
+  // Returns the latest era that an answer has named. During the callback of a
+  // call, this includes the call's own answer. A lease belongs to the era in
+  // which it was granted; a later one may give its number to another process.
+  virtual base::Era era() const { return base::FirstEra; }
 };
 
 } // namespace burdockstream::store
