Keep flows of agents that the restored copy lacks

Cause: a balancer resets a flow when all agents of the store's list deny it and the list is settled. After a return from an older copy the list lacks agents that have registered since; they notice at their next renewal, up to two seconds later, and the balancer took the list for complete.

Change: a list of a later era starts a new recovery of the list: three seconds without resets, and a subscription to all listed agents, some of which have left.

Result: FlowOfAnAgentThatTheCopyLacksIsReset fails without the change and passes.

--- a/packages/flowd/src/BalancerDaemon.h
+++ b/packages/flowd/src/BalancerDaemon.h
@@ -79,6 +79,7 @@
   std::unique_ptr<network::UdpSocket> Frames;  // frames of agents
   std::unique_ptr<WatchedPrefix> Routes;
   std::unique_ptr<WatchedPrefix> Agents;
+  std::optional<base::Era> AgentsEra; // of the last list of agents
   http::HttpServer Server;
   http::HttpClient Client;
   std::string RoutesText; // of the routes in force, sent to peers
--- a/packages/flowd/src/BalancerStoreView.cpp
+++ b/packages/flowd/src/BalancerStoreView.cpp
@@ -94,6 +94,10 @@
       else
         logStoreEvent("entry_refused", "agents", &Entry.error());
     }
+    const base::Era ListEra = base::eraOf(Reply.StoreRevision);
+    if (AgentsEra && *AgentsEra != ListEra)
+      Core.onStoreRestored(readClocks().Monotonic);
+    AgentsEra = ListEra;
     Core.setAgentEntries(Entries, readClocks().Monotonic);
   };
   Hooks.OnEvent = [this](const store::WatchEvent &Event) {
--- a/packages/flows/include/burdockstream/flows/FlowBalancer.h
+++ b/packages/flows/include/burdockstream/flows/FlowBalancer.h
@@ -104,6 +104,10 @@
 inline constexpr base::Duration InitialSettleTime =
     std::chrono::milliseconds(150);
 
+// Time after a return of the store from an older copy in which agents that the
+// copy lacks register again. They notice the return at their next renewal.
+inline constexpr base::Duration RegistrationPeriod = std::chrono::seconds(3);
+
 // If the loop was stalled for longer than this, the silence of agents is not
 // counted.
 inline constexpr base::Duration StallLimit = std::chrono::milliseconds(400);
@@ -136,6 +140,11 @@
   void applyAgentEntry(const AgentEntry &Entry, base::TimePoint Now);
   void removeAgentEntry(base::SocketAddress Agent, base::TimePoint Now);
 
+  // The store has returned from an older copy. Its list of agents may lack some
+  // that are alive, and have some that have left. Call before the first list of
+  // the new era.
+  void onStoreRestored(base::TimePoint Now);
+
   // Apply the store's list of evacuated failure domains: the complete list as
   // of Revision, or the change of one domain.
   void setEvacuations(const std::set<std::string> &Domains,
@@ -336,6 +345,7 @@
   bool PeersQueried = true;
   base::TimePoint ListKnownSince{};
   base::TimePoint LastListChange{};
+  base::TimePoint RegistrationEnd{}; // see RegistrationPeriod
   std::array<ViewAge, ViewParts> ViewAges;
   base::TimePoint LastTick{};
   base::TimePoint NextSubscriptionUpdate{};
--- a/packages/flows/src/FlowBalancer.cpp
+++ b/packages/flows/src/FlowBalancer.cpp
@@ -39,6 +39,12 @@
   }
 }
 
+void FlowBalancer::onStoreRestored(base::TimePoint Now) {
+  ListKnownSince = Now;
+  RegistrationEnd = Now + RegistrationPeriod;
+  NextSubscriptionUpdate = Now; // listed agents may have left
+}
+
 void FlowBalancer::recordListChange(base::TimePoint Now) {
   if (Now - ListKnownSince <= ListRecoveryPeriod)
     LastListChange = Now;
@@ -346,7 +352,7 @@
 
 bool FlowBalancer::isSettled(base::TimePoint Now) const {
   return StoreFresh && ListKnown && PeersQueried &&
-         Now - LastListChange >= SettleTime;
+         Now - LastListChange >= SettleTime && Now >= RegistrationEnd;
 }
 
 void FlowBalancer::reportDecision(DecisionKind Kind, const FlowKey &Flow,
--- a/packages/flows/test/RestoredStoreTest.cpp
+++ b/packages/flows/test/RestoredStoreTest.cpp
@@ -90,5 +90,36 @@
   EXPECT_EQ(Sim.NewerRoutes.back().first, WrittenAgain);
 }
 
+// The agent started behind the copy; the second balancer has not read its entry
+// before the return.
+TEST_F(RestoredStoreTest, FlowOfAnAgentThatTheCopyLacksIsReset) {
+  const FlowKey Flow = Simulation::flow(40001, VaultAddress);
+  const std::vector<AgentEntry> Copy = {
+      {Sim.Agents[0].Address, std::string(Shop), "a"},
+      {Sim.Agents[1].Address, std::string(Vault), "a"}};
+  Sim.sendHeartbeat(1, true);
+  const size_t Added = Sim.addAgent(Vault);
+  Sim.Balancers[0].Core->applyAgentEntry(
+      {Sim.Agents[Added].Address, std::string(Vault), "a"}, Sim.Now);
+  Sim.sendHeartbeat(Added);
+  Sim.run(milliseconds(1000));
+  Sim.sendHeartbeat(Added);
+  Sim.openAndRequest(0, Flow);
+  ASSERT_EQ(Sim.holder(Flow), static_cast<int>(Added));
+  Sim.Balancers[1].Core->onStoreRestored(Sim.Now);
+  Sim.Balancers[1].Core->setAgentEntries(Copy, Sim.Now);
+  for (int I = 0; I < 4; ++I) {
+    Sim.send(1, Flow);
+    Sim.run(milliseconds(500));
+  }
+  Sim.Balancers[1].Core->applyAgentEntry(
+      {Sim.Agents[Added].Address, std::string(Vault), "a"}, Sim.Now);
+  Sim.run(milliseconds(100));
+  Sim.send(1, Flow);
+  Sim.run(milliseconds(500));
+  EXPECT_TRUE(Sim.Resets.empty());
+  EXPECT_EQ(Sim.count(DecisionKind::Found), 1U);
+}
+
 } // namespace
 } // namespace burdockstream::flows::test
