Read the store again when agents report routes of a later era

Cause: libsoup repeats a watch call whose connection was closed, and the store lets it wait behind a revision that it has given out again; nothing is answered until the next event or, on large fleets, for 25 s. A configuration at a lower revision reaches this balancer through its peers only, evacuations through agents, and entries of agents not at all. Ruled out: shorter watch calls, which the store bills.

Change: the newest routes that agents announce carry the era. A balancer that learns of a later era than its store client has seen reads both prefixes again, once an era. No message changes.

Result: WaitingWatchesMissAReturnThatOthersHaveSeen fails without the change and passes.

--- a/packages/flowd/include/burdockstream/flowd/WatchedPrefix.h
+++ b/packages/flowd/include/burdockstream/flowd/WatchedPrefix.h
@@ -41,6 +41,10 @@
   // Starts the first read. Thread safety: loop thread only.
   void start();
 
+  // Reads all keys again and watches from there, unless a read is due anyway.
+  // Thread safety: loop thread only.
+  void readAgain();
+
   // Calls Done once all changes made before this call have been reported. Done
   // is not called if the store is unavailable or becomes so. Thread safety:
   // loop thread only.
--- a/packages/flowd/src/BalancerDaemon.cpp
+++ b/packages/flowd/src/BalancerDaemon.cpp
@@ -86,6 +86,7 @@
   Hooks.OnNewerRoutes = [this](base::Revision Revision,
                                base::SocketAddress Control) {
     PeerQueries.onNewerRoutes(Revision, Control, readClocks().Monotonic);
+    onEraReported(base::eraOf(Revision), Control);
   };
   Hooks.OnEvacuation = [this](const std::string &Domain,
                               const flows::DomainEvacuation &State,
--- a/packages/flowd/src/BalancerDaemon.h
+++ b/packages/flowd/src/BalancerDaemon.h
@@ -49,6 +49,9 @@
                      const flows::DomainEvacuation &State,
                      base::SocketAddress Source);
   void logIgnoredEvacuations(size_t Count);
+  // Source has read the store in Reported. If this balancer has not, its
+  // watches may wait for revisions of an earlier era: reads all keys again.
+  void onEraReported(base::Era Reported, base::SocketAddress Source);
   ReportSources reports();
   void updateStoreFreshness();
   void logStoreRead(const char *WatchName, const store::RangeReply &Reply);
@@ -79,7 +82,8 @@
   std::unique_ptr<network::UdpSocket> Frames;  // frames of agents
   std::unique_ptr<WatchedPrefix> Routes;
   std::unique_ptr<WatchedPrefix> Agents;
-  std::optional<base::Era> AgentsEra; // of the last list of agents
+  std::optional<base::Era> AgentsEra;     // of the last list of agents
+  base::Era ReportedEra = base::FirstEra; // the latest that others have read
   http::HttpServer Server;
   http::HttpClient Client;
   std::string RoutesText; // of the routes in force, sent to peers
--- a/packages/flowd/src/BalancerStoreView.cpp
+++ b/packages/flowd/src/BalancerStoreView.cpp
@@ -171,6 +171,20 @@
   Log.write(LogPriority::Process, Event, Fields, readClocks());
 }
 
+void BalancerDaemon::onEraReported(base::Era Reported,
+                                   base::SocketAddress Source) {
+  if (Reported <= std::max(Store->era(), ReportedEra))
+    return;
+  ReportedEra = Reported;
+  Json::Value Fields;
+  Fields["era"] = Json::Int64(Reported);
+  Fields["era_before"] = Json::Int64(Store->era());
+  Fields["source"] = base::toString(Source);
+  Log.write(LogPriority::Process, "era_reported", Fields, readClocks());
+  Routes->readAgain();
+  Agents->readAgain();
+}
+
 void BalancerDaemon::updateStoreFreshness() {
   Core.setStoreFresh(Routes && Routes->isSynchronized() && Agents &&
                      Agents->isSynchronized());
--- a/packages/flowd/src/WatchedPrefix.cpp
+++ b/packages/flowd/src/WatchedPrefix.cpp
@@ -47,6 +47,11 @@
       [this](const base::Error &Reason) { onWatchEnd(Reason); });
 }
 
+void WatchedPrefix::readAgain() {
+  if (Watch && RetryTimer == 0)
+    read();
+}
+
 void WatchedPrefix::catchUp(std::function<void()> Done) {
   if (Watch && Synchronized)
     Watch->catchUp(std::move(Done));
