--- a/packages/flowd/test/PeerStateTest.cpp
+++ b/packages/flowd/test/PeerStateTest.cpp
@@ -1,6 +1,8 @@
 // Tests parsing and serialization of the state that balancers exchange.
 #include "burdockstream/flowd/PeerState.h"
 
+#include "burdockstream/base/StoreEra.h"
+
 #include <gtest/gtest.h>
 
 namespace burdockstream::flowd {
@@ -18,6 +20,18 @@
   EXPECT_EQ(Parsed.value().Agents[0], Agent);
 }
 
+// Both builds run side by side while a fleet is upgraded.
+TEST(PeerStateTest, StateOfBuild3b4e586Differs) {
+  const std::string Former =
+      R"({"agents":[{"key":"burdockstream/agents/10.1.2.4:7720",)"
+      R"("value":"{\"failure_domain\":\"bc-kam\",\"service\":\"shop\"}"}],)"
+      R"("revision":1099511627794,"routes":"{}"})";
+  const auto Parsed = parsePeerState(Former, "peer");
+  ASSERT_TRUE(Parsed.has_value());
+  EXPECT_EQ(Parsed.value().Revision, base::orderRevision(2, 18));
+  EXPECT_EQ(serializePeerState(Parsed.value()), Former);
+}
+
 // Guards against a crash on malformed text from a peer.
 TEST(PeerStateTest, RefusesMalformedText) {
   for (const char *Text :
--- a/testing/flow_soak/src/FlowSoak.cpp
+++ b/testing/flow_soak/src/FlowSoak.cpp
@@ -1,7 +1,9 @@
 #include "FlowSoak.h"
 
 #include "Process.h"
+#include "RoutesCheck.h"
 #include "burdockstream/base/Random.h"
+#include "burdockstream/flowd/AgentEntries.h"
 #include "burdockstream/network/LoopTimer.h"
 #include "burdockstream/testing/PlatformStoreStandIn.h"
 
@@ -17,8 +19,6 @@
 using std::chrono::milliseconds;
 using testing::StoreFault;
 
-constexpr size_t BalancerCount = 3;
-constexpr size_t AgentCount = 5; // two of them of the second service
 constexpr size_t FlowCount = 40;
 constexpr base::SocketAddress ShopAddress{0xC6120001, 443};
 constexpr base::SocketAddress VaultAddress{0xC6120002, 443};
@@ -46,22 +46,28 @@
 // reset; pauses stay below, so that no reset of an open flow is allowed.
 constexpr uint64_t LongestPauseMs = 900;
 constexpr milliseconds RestartDelay{300};
+
+// The store returns from a copy that is at most this old.
+constexpr milliseconds CopyInterval{2'500};
+constexpr milliseconds ReportInterval{250};
 constexpr milliseconds CalmTime{6'000};
 constexpr int64_t ServedWithinMs = 2'500;
 
 class Soak {
 public:
   explicit Soak(const SoakOptions &InitOptions)
-      : Options(InitOptions), Random(InitOptions.Seed), Clients(nullptr) {
+      : Options(InitOptions), Random(InitOptions.Seed),
+        Routes(InitOptions.Balancers, Report.Found), Clients(nullptr) {
     CHECK(Store.listen(StoreAddress).has_value());
     Store.put("op/config", routes(Version));
-    for (size_t I = 0; I < AgentCount; ++I) {
-      const bool Shop = I < 3;
+    Store.copy();
+    for (size_t I = 0; I < Options.Agents; ++I) {
+      const bool Shop = isOfShop(I);
       Targets.push_back(std::make_unique<SoakTarget>(
           I, Shop ? "shop" : "vault", Shop ? ShopAddress : VaultAddress,
           Report.Found));
     }
-    for (size_t I = 0; I < BalancerCount + AgentCount; ++I)
+    for (size_t I = 0; I < Options.Balancers + Options.Agents; ++I)
       Processes.push_back(start(I));
   }
 
@@ -78,6 +84,10 @@
         Report.Found);
     const guint Ticks =
         network::callEvery(milliseconds(20), [this] { Clients->tick(); });
+    const guint Copies =
+        network::callEvery(CopyInterval, [this] { Store.copy(); });
+    const guint Polls =
+        network::callEvery(ReportInterval, [this] { Routes.poll(); });
     e2e::runLoopFor(milliseconds(1000));
     const gint64 End = g_get_monotonic_time() +
                        Options.FaultTime / std::chrono::microseconds(1);
@@ -90,8 +100,10 @@
     e2e::runLoopFor(CalmTime);
     Report.Unserved = Clients->unserved(ServedWithinMs);
     Report.Answers = Clients->answers();
-    g_source_remove(Ticks);
-    g_source_remove(Beats);
+    Routes.expectVersion(Version);
+    checkEntries();
+    for (const guint Source : {Ticks, Beats, Copies, Polls})
+      g_source_remove(Source);
     return Report;
   }
 
@@ -101,7 +113,8 @@
   // The fabric: a hash over all balancers; a running one is not preferred, so
   // that packets also reach those that are away.
   base::SocketAddress route(const flows::FlowKey &Flow) const {
-    return place(1, (flows::hashOf(Flow) + Rotation) % BalancerCount, DataPort);
+    return place(1, (flows::hashOf(Flow) + Rotation) % Options.Balancers,
+                 DataPort);
   }
 
   bool isHeld(const flows::FlowKey &Flow) const {
@@ -111,18 +124,32 @@
     return false;
   }
 
+  static bool isOfShop(size_t Agent) { return Agent % 5 < 3; }
+
+  void checkEntries() {
+    for (size_t I = 0; I < Options.Agents; ++I)
+      if (!Store.has(flowd::formatEntryKey(place(2, I, DataPort))))
+        Report.Found.push_back("the store has no entry of agent " +
+                               std::to_string(I));
+  }
+
+  std::string program(size_t Index) {
+    const bool Own = Options.OtherProgram.empty() || Index == 0;
+    return Own || below(2) == 0 ? "burdockstream-flowd" : Options.OtherProgram;
+  }
+
   std::unique_ptr<e2e::Process> start(size_t Index) {
-    const bool IsBalancer = Index < BalancerCount;
-    const size_t Member = IsBalancer ? Index : Index - BalancerCount;
+    const bool IsBalancer = Index < Options.Balancers;
+    const size_t Member = IsBalancer ? Index : Index - Options.Balancers;
+    if (IsBalancer)
+      Routes.onStart(Member);
     const std::string Name =
         (IsBalancer ? "balancer-" : "agent-") + std::to_string(Member);
     const std::string Path = Options.LogFolder + "/" + Name;
     std::ofstream(Path + ".json")
         << (IsBalancer ? balancerSettings(Member) : agentSettings(Member));
-    return std::make_unique<e2e::Process>(
-        e2e::ProcessOptions{"burdockstream-flowd",
-                            {"--settings=" + Path + ".json"},
-                            Path + ".err"});
+    return std::make_unique<e2e::Process>(e2e::ProcessOptions{
+        program(Index), {"--settings=" + Path + ".json"}, Path + ".err"});
   }
 
   static std::string quoted(base::SocketAddress Address) {
@@ -138,17 +165,17 @@
            ",\"grace_period_s\":6,";
   }
 
-  static std::string balancerSettings(size_t I) {
+  std::string balancerSettings(size_t I) const {
     return common("balancer", 1, I) +
            "\"ready_address\":" + quoted(place(1, I, ReadyPort)) +
            ",\"seed_address\":" + quoted(place(1, I, HeartbeatPort)) +
            ",\"peers\":[" +
-           quoted(place(1, (I + 1) % BalancerCount, HeartbeatPort)) + "]}";
+           quoted(place(1, (I + 1) % Options.Balancers, HeartbeatPort)) + "]}";
   }
 
   static std::string agentSettings(size_t I) {
     return common("agent", 2, I) + "\"agent\":{\"service\":\"" +
-           (I < 3 ? "shop" : "vault") +
+           (isOfShop(I) ? "shop" : "vault") +
            "\",\"target_address\":" + quoted(place(2, I, TargetPort)) +
            ",\"outbound_address\":" + quoted(place(2, I, OutboundPort)) +
            ",\"heartbeat_address\":" + quoted(place(2, I, HeartbeatPort)) +
@@ -179,10 +206,19 @@
     });
   }
 
+  void returnFromCopy(milliseconds Away) {
+    Store.setFault(StoreFault::Reset);
+    network::callLater(Away, [this] {
+      Store.restore();
+      Store.rewriteOperatorChanges();
+      Store.setFault(StoreFault::None);
+    });
+  }
+
   void inject() {
     const size_t Index = below(Processes.size());
     const uint64_t Pause = 100 + below(LongestPauseMs - 100);
-    switch (below(11)) {
+    switch (below(13)) {
     case 0:
       Processes[Index]->signal(SIGKILL);
       return restart(Index);
@@ -213,6 +249,9 @@
     case 8:
       return replaceTarget(TargetDrainTime);
     case 9:
+    case 10:
+      return returnFromCopy(milliseconds(Pause));
+    case 11:
       for (int I = 0; I < ConfigSeries; ++I)
         network::callLater(I * ConfigGap, [this] {
           Store.put("op/config", routes(++Version));
@@ -228,6 +267,7 @@
   SoakReport Report;
   testing::PlatformStoreStandIn Store;
   std::vector<std::unique_ptr<SoakTarget>> Targets;
+  RoutesCheck Routes;
   std::vector<std::unique_ptr<e2e::Process>> Processes;
   std::unique_ptr<SoakClients> Clients;
   uint64_t Rotation = 0;
--- a/testing/flow_soak/src/FlowSoak.h
+++ b/testing/flow_soak/src/FlowSoak.h
@@ -16,6 +16,11 @@
   uint64_t Seed = 1;
   std::chrono::milliseconds FaultTime{8'000};
   std::string LogFolder; // receives settings and standard errors
+  size_t Balancers = 3;
+  size_t Agents = 5; // two of five are of the second service
+  // File name of another build of the daemon beside the own one. If set, each
+  // process but the first balancer is of either build at each start.
+  std::string OtherProgram = {};
 };
 
 struct SoakReport {
--- a/testing/flow_soak/src/main.cpp
+++ b/testing/flow_soak/src/main.cpp
@@ -8,6 +8,11 @@
 DEFINE_uint64(seed, 1, "the first seed");
 DEFINE_uint64(seeds, 1, "how many seeds to run");
 DEFINE_int32(fault_ms, 8000, "how long faults are injected for each seed");
+DEFINE_uint64(balancers, 3, "number of balancers, at most 254");
+DEFINE_uint64(agents, 5, "number of agents, at most 254");
+DEFINE_string(other_program, "",
+              "file name of another build of the daemon, beside this program; "
+              "processes are of either build");
 DEFINE_string(logs, "/tmp", "folder for settings and standard errors");
 
 int main(int argc, char **argv) {
@@ -18,7 +23,8 @@
   bool Clean = true;
   for (uint64_t Seed = FLAGS_seed; Seed < FLAGS_seed + FLAGS_seeds; ++Seed) {
     const auto Report = burdockstream::flowsoak::runSoak(
-        {Seed, std::chrono::milliseconds(FLAGS_fault_ms), FLAGS_logs});
+        {Seed, std::chrono::milliseconds(FLAGS_fault_ms), FLAGS_logs,
+         FLAGS_balancers, FLAGS_agents, FLAGS_other_program});
     Clean = Clean && Report.Found.empty() && Report.Unserved == 0;
     std::cout << "seed " << Seed << ": " << Report.Answers << " answers, "
               << Report.Faults << " faults, " << Report.Found.size()
--- a/testing/flow_soak/test/FlowSoakTest.cpp
+++ b/testing/flow_soak/test/FlowSoakTest.cpp
@@ -18,7 +18,7 @@
   EXPECT_GT(Report.Answers, 0U);
 }
 
-INSTANTIATE_TEST_SUITE_P(Seeds, FlowSoakTest, ::testing::Values(1, 2));
+INSTANTIATE_TEST_SUITE_P(Seeds, FlowSoakTest, ::testing::Values(1, 2, 3, 4));
 
 } // namespace
 } // namespace burdockstream::flowsoak
