Let the soak's targets hold a flow from its acknowledgement on

The trace (process logs, which the soak now keeps, one file a start): balancer-1 wakes from a pause and offers two copies of the opening packet to agents 2 and 1; the client opens the flow at target 1, which is replaced at 549 ms later, and agent 1 resets the flow; target 2 has only seen the opening packet. The packets at target 3 are trial deliveries by agent 3, which had restarted, after the flows' target had ended; the soak's target neither held nor returned them, so agent 3 took them for held.

Violations and faults carry the time, and a seed with violations prints its faults. Also takes setRoutes' argument by reference, as the linter asks.

--- a/packages/flows/include/burdockstream/flows/FlowBalancer.h
+++ b/packages/flows/include/burdockstream/flows/FlowBalancer.h
@@ -131,7 +131,8 @@
   // returns whether it was applied. If it is not, but has a higher revision,
   // the routes in force take that revision: they are valid in the later era,
   // too. Precondition: Table is not null.
-  bool setRoutes(std::shared_ptr<const RouteTable> Table, base::TimePoint Now);
+  bool setRoutes(const std::shared_ptr<const RouteTable> &Table,
+                 base::TimePoint Now);
 
   // Apply the store's list of agents: the complete list, an added or changed
   // entry, or a removed one.
--- a/packages/flows/src/FlowBalancer.cpp
+++ b/packages/flows/src/FlowBalancer.cpp
@@ -5,7 +5,7 @@
 
 namespace burdockstream::flows {
 
-bool FlowBalancer::setRoutes(std::shared_ptr<const RouteTable> Table,
+bool FlowBalancer::setRoutes(const std::shared_ptr<const RouteTable> &Table,
                              base::TimePoint Now) {
   const bool Newer = !Routes || isNewer(*Table, *Routes);
   if (!Newer && Table->Revision <= Routes->Revision)
--- a/testing/e2e/src/Process.cpp
+++ b/testing/e2e/src/Process.cpp
@@ -28,8 +28,12 @@
   for (const std::string &Argument : Options.Arguments)
     Arguments.push_back(Argument.c_str());
   Arguments.push_back(nullptr);
-  GSubprocessLauncher *Launcher =
-      g_subprocess_launcher_new(G_SUBPROCESS_FLAGS_STDOUT_PIPE);
+  GSubprocessLauncher *Launcher = g_subprocess_launcher_new(
+      Options.OutputPath.empty() ? G_SUBPROCESS_FLAGS_STDOUT_PIPE
+                                 : G_SUBPROCESS_FLAGS_NONE);
+  if (!Options.OutputPath.empty())
+    g_subprocess_launcher_set_stdout_file_path(Launcher,
+                                               Options.OutputPath.c_str());
   g_subprocess_launcher_set_stderr_file_path(Launcher, Options.LogPath.c_str());
   GError *Cause = nullptr;
   Subprocess = g_subprocess_launcher_spawnv(Launcher, Arguments.data(), &Cause);
--- a/testing/e2e/src/Process.h
+++ b/testing/e2e/src/Process.h
@@ -14,6 +14,8 @@
   std::string Program; // file name in the binary folder of the build
   std::vector<std::string> Arguments;
   std::string LogPath; // file that receives standard error
+  // File that receives standard output; a pipe if empty.
+  std::string OutputPath = {};
 };
 
 class Process {
--- a/testing/flow_soak/src/FlowSoak.cpp
+++ b/testing/flow_soak/src/FlowSoak.cpp
@@ -93,7 +93,6 @@
                        Options.FaultTime / std::chrono::microseconds(1);
     while (g_get_monotonic_time() < End) {
       inject();
-      ++Report.Faults;
       e2e::runLoopFor(milliseconds(200 + below(600)));
     }
     Store.setFault(StoreFault::None);
@@ -148,8 +147,11 @@
     const std::string Path = Options.LogFolder + "/" + Name;
     std::ofstream(Path + ".json")
         << (IsBalancer ? balancerSettings(Member) : agentSettings(Member));
-    return std::make_unique<e2e::Process>(e2e::ProcessOptions{
-        program(Index), {"--settings=" + Path + ".json"}, Path + ".err"});
+    return std::make_unique<e2e::Process>(
+        e2e::ProcessOptions{program(Index),
+                            {"--settings=" + Path + ".json"},
+                            Path + ".err",
+                            Path + "-" + std::to_string(++Starts) + ".log"});
   }
 
   static std::string quoted(base::SocketAddress Address) {
@@ -218,7 +220,12 @@
   void inject() {
     const size_t Index = below(Processes.size());
     const uint64_t Pause = 100 + below(LongestPauseMs - 100);
-    switch (below(13)) {
+    const uint64_t Kind = below(13);
+    Report.Faults.push_back(std::to_string(g_get_real_time() / 1000) +
+                            " kind " + std::to_string(Kind) + ", process " +
+                            std::to_string(Index) + ", " +
+                            std::to_string(Pause) + " ms");
+    switch (Kind) {
     case 0:
       Processes[Index]->signal(SIGKILL);
       return restart(Index);
@@ -271,6 +278,7 @@
   std::vector<std::unique_ptr<e2e::Process>> Processes;
   std::unique_ptr<SoakClients> Clients;
   uint64_t Rotation = 0;
+  uint64_t Starts = 0; // of processes
   uint64_t Version = 3;
   bool TargetLeaves = false;
 };
--- a/testing/flow_soak/src/FlowSoak.h
+++ b/testing/flow_soak/src/FlowSoak.h
@@ -15,7 +15,7 @@
 struct SoakOptions {
   uint64_t Seed = 1;
   std::chrono::milliseconds FaultTime{8'000};
-  std::string LogFolder; // receives settings and standard errors
+  std::string LogFolder; // receives settings, logs and standard errors
   size_t Balancers = 3;
   size_t Agents = 5; // two of five are of the second service
   // File name of another build of the daemon beside the own one. If set, each
@@ -26,7 +26,7 @@
 struct SoakReport {
   Violations Found;
   uint64_t Answers = 0;
-  size_t Faults = 0;
+  std::vector<std::string> Faults; // time and kind of each
   size_t Unserved = 0; // flows without an answer after the faults have ended
 };
 
--- a/testing/flow_soak/src/SoakParts.cpp
+++ b/testing/flow_soak/src/SoakParts.cpp
@@ -48,7 +48,7 @@
         else
           Out->abort(); // libsoup does not survive closing and listening again
       }),
-      Held(isBefore) {
+      Accepted(isBefore), Held(isBefore) {
   CHECK(Health.listen(place(2, Index, TargetPort)).has_value());
   Socket->attach(nullptr, [this](std::span<uint8_t> Bytes,
                                  base::SocketAddress) { onPacket(Bytes); });
@@ -56,6 +56,7 @@
 
 void SoakTarget::end() {
   Running = false;
+  Accepted.clear();
   Held.clear();
 }
 
@@ -100,17 +101,23 @@
     Found.push_back("a target got a packet that its client did not write so");
     return;
   }
-  if (Packet->Flow.Service != ServiceAddress) {
-    Found.push_back("a packet reached a target of another service");
+  if (Packet->Opens && Packet->Flow.Service != ServiceAddress) {
+    Found.push_back("an opening packet reached a target of another service: " +
+                    flows::toString(Packet->Flow) + " at " +
+                    std::to_string(Index));
     return;
   }
   const base::SocketAddress Back = place(2, Index, OutboundPort);
-  if (Packet->Opens && DrainAckedAtMs != 0 && !holds(Packet->Flow) &&
+  if (Packet->Opens && DrainAckedAtMs != 0 &&
+      Accepted.count(Packet->Flow) == 0 &&
       nowMs() - DrainAckedAtMs > DrainBoundMs)
     Found.push_back("an opening packet reached a target that leaves");
   if (Packet->Opens)
+    Accepted.insert(Packet->Flow);
+  else if (Accepted.count(Packet->Flow) != 0 &&
+           Packet->Acknowledged == sequence())
     Held.insert(Packet->Flow);
-  if (!holds(Packet->Flow)) {
+  if (!Packet->Opens && !holds(Packet->Flow)) {
     testing::markReturned(Bytes);
     Socket->send(Bytes, Back);
     return;
@@ -121,7 +128,7 @@
         testing::writePacket(
             {Packet->Flow.Service, Packet->Flow.Client,
              static_cast<uint8_t>(Packet->Opens ? SynFlag | AckFlag : AckFlag),
-             Request * 4, Request}),
+             Request * 4, Request, 4, sequence()}),
         Back);
 }
 
@@ -181,7 +188,7 @@
       Flow.WaitMs = std::min(2 * Flow.WaitMs, LongestWaitMs);
     }
     Flow.SentAtMs = Now;
-    send(Flow, AckFlag, 1, Flow.Request);
+    send(Flow, AckFlag, Flow.Acknowledged, Flow.Request);
   }
 }
 
@@ -199,8 +206,10 @@
     return; // of an earlier flow of the same client
   if (Packet->Aborts) {
     if (Flow->Open && IsHeld(Flow->Key))
-      Found.push_back("an open flow was reset although its target holds it: " +
-                      flows::toString(Flow->Key));
+      Found.push_back(
+          std::to_string(g_get_real_time() / 1000) +
+          ": an open flow was reset although its target holds it: " +
+          flows::toString(Flow->Key));
     return reopen(*Flow);
   }
   if (!isIntact(Bytes)) {
@@ -209,10 +218,11 @@
   }
   if (Packet->Accepts && !Flow->Open) {
     Flow->Open = true;
+    Flow->Acknowledged = Packet->Sequence;
     Flow->Request = 1;
     Flow->WaitMs = 200;
     Flow->SentAtMs = nowMs();
-    send(*Flow, AckFlag, 1, Flow->Request);
+    send(*Flow, AckFlag, Flow->Acknowledged, Flow->Request);
   } else if (requestOf(Bytes) == Flow->Request && Flow->Request != 0) {
     Flow->LastAnswerMs = nowMs();
     ++Answers;
--- a/testing/flow_soak/src/SoakParts.h
+++ b/testing/flow_soak/src/SoakParts.h
@@ -51,10 +51,14 @@
   // A new run, which knows nothing of the one before.
   void startAnew();
   bool isRunning() const { return Running; }
+  // A flow is held from the first packet that acknowledges this target's
+  // answer to the opening one; its copies may reach several targets.
   bool holds(const flows::FlowKey &Flow) const { return Held.count(Flow) != 0; }
 
 private:
   void onPacket(std::span<uint8_t> Bytes);
+  // In the answers to opening packets; another one for each target.
+  uint32_t sequence() const { return static_cast<uint32_t>(Index + 1); }
 
   size_t Index;
   std::string Service;
@@ -64,9 +68,10 @@
   std::unique_ptr<network::UdpSocket> Socket;
   http::HttpServer Health;
   http::HttpClient Client;
-  std::set<flows::FlowKey,
-           bool (*)(const flows::FlowKey &, const flows::FlowKey &)>
-      Held;
+  using FlowSet = std::set<flows::FlowKey, bool (*)(const flows::FlowKey &,
+                                                    const flows::FlowKey &)>;
+  FlowSet Accepted; // opening packets
+  FlowSet Held;
   uint64_t Sequence = 0;
   int64_t Born = 0;
   bool Running = true;
@@ -82,7 +87,8 @@
   int64_t SentAtMs = 0;
   int64_t WaitMs = 200;
   int64_t LastAnswerMs = 0;
-  uint32_t Request = 0; // number of the one that waits for its answer
+  uint32_t Request = 0;      // number of the one that waits for its answer
+  uint32_t Acknowledged = 0; // sequence number of the target that holds it
 };
 
 class SoakClients {
--- a/testing/flow_soak/src/main.cpp
+++ b/testing/flow_soak/src/main.cpp
@@ -27,11 +27,13 @@
          FLAGS_balancers, FLAGS_agents, FLAGS_other_program});
     Clean = Clean && Report.Found.empty() && Report.Unserved == 0;
     std::cout << "seed " << Seed << ": " << Report.Answers << " answers, "
-              << Report.Faults << " faults, " << Report.Found.size()
+              << Report.Faults.size() << " faults, " << Report.Found.size()
               << " violations, " << Report.Unserved << " flows unserved"
               << std::endl; // a crash must not lose the lines before it
     for (const std::string &Each : Report.Found)
       std::cout << "  " << Each << "\n";
+    for (size_t I = 0; I < Report.Faults.size() && !Report.Found.empty(); ++I)
+      std::cout << "  fault " << Report.Faults[I] << "\n";
   }
   return Clean ? EXIT_SUCCESS : EXIT_FAILURE;
 }
