--- a/testing/flow_soak/src/FlowSoak.cpp
+++ b/testing/flow_soak/src/FlowSoak.cpp
@@ -103,6 +103,9 @@
     checkEntries();
     for (const guint Source : {Ticks, Beats, Copies, Polls})
       g_source_remove(Source);
+    // libsoup does not survive the end of a server with open connections.
+    Processes.clear();
+    e2e::runLoopFor(milliseconds(200));
     return Report;
   }
 
