Cancel the soak's pending actions when a seed ends

Daemons of the dead soak stayed and answered for later seeds, which then reported versions of another seed. Change: actions hold a weak reference to the soak.

--- a/testing/flow_soak/src/FlowSoak.cpp
+++ b/testing/flow_soak/src/FlowSoak.cpp
@@ -103,15 +103,21 @@
     checkEntries();
     for (const guint Source : {Ticks, Beats, Copies, Polls})
       g_source_remove(Source);
-    // libsoup does not survive the end of a server with open connections.
-    Processes.clear();
-    e2e::runLoopFor(milliseconds(200));
     return Report;
   }
 
 private:
   uint64_t below(uint64_t Bound) { return base::randomBelow(Random, Bound); }
 
+  // Runs Action after Delay, unless the soak has ended by then.
+  void later(milliseconds Delay, std::function<void()> Action) {
+    network::callLater(
+        Delay, [Alive = std::weak_ptr(LifetimeToken), Run = std::move(Action)] {
+          if (!Alive.expired())
+            Run();
+        });
+  }
+
   // The fabric: a hash over all balancers; a running one is not preferred, so
   // that packets also reach those that are away.
   base::SocketAddress route(const flows::FlowKey &Flow) const {
@@ -188,7 +194,7 @@
   }
 
   void restart(size_t Index) {
-    network::callLater(RestartDelay, [this, Index] {
+    later(RestartDelay, [this, Index] {
       if (Processes[Index]->hasExited())
         Processes[Index] = start(Index);
       else
@@ -204,8 +210,8 @@
     SoakTarget &Leaving = *Targets[below(Targets.size())];
     if (DrainTime.count() > 0)
       Leaving.drain();
-    network::callLater(DrainTime, [&Leaving] { Leaving.end(); });
-    network::callLater(DrainTime + TargetAwayTime, [this, &Leaving] {
+    later(DrainTime, [&Leaving] { Leaving.end(); });
+    later(DrainTime + TargetAwayTime, [this, &Leaving] {
       Leaving.startAnew();
       TargetLeaves = false;
     });
@@ -213,7 +219,7 @@
 
   void returnFromCopy(milliseconds Away) {
     Store.setFault(StoreFault::Reset);
-    network::callLater(Away, [this] {
+    later(Away, [this] {
       Store.restore();
       Store.rewriteOperatorChanges();
       Store.setFault(StoreFault::None);
@@ -238,16 +244,16 @@
       return restart(Index);
     case 3:
       Processes[Index]->signal(SIGSTOP);
-      network::callLater(milliseconds(Pause),
-                         [this, Index] { Processes[Index]->signal(SIGCONT); });
+      later(milliseconds(Pause),
+            [this, Index] { Processes[Index]->signal(SIGCONT); });
       return;
     case 4: {
       constexpr StoreFault Kinds[] = {StoreFault::Busy, StoreFault::Reset,
                                       StoreFault::Silent,
                                       StoreFault::LostAnswer};
       Store.setFault(Kinds[below(4)]);
-      network::callLater(milliseconds(2 * Pause),
-                         [this] { Store.setFault(StoreFault::None); });
+      later(milliseconds(2 * Pause),
+            [this] { Store.setFault(StoreFault::None); });
       return;
     }
     case 5:
@@ -263,9 +269,8 @@
       return returnFromCopy(milliseconds(Pause));
     case 11:
       for (int I = 0; I < ConfigSeries; ++I)
-        network::callLater(I * ConfigGap, [this] {
-          Store.put("op/config", routes(++Version));
-        });
+        later(I * ConfigGap,
+              [this] { Store.put("op/config", routes(++Version)); });
       return;
     default:
       ++Rotation; // the fabric moves all flows to other balancers
@@ -284,6 +289,7 @@
   uint64_t Starts = 0; // of processes
   uint64_t Version = 3;
   bool TargetLeaves = false;
+  std::shared_ptr<int> LifetimeToken = std::make_shared<int>(0);
 };
 
 } // namespace
