Order configurations by the operators' version

Cause: within an era of the store the revision decided which configuration is newer. A balancer that keeps version 5 while the store holds an older copy takes the copy's revision for it. If the operators then write version 4 and version 5 again, one by one, version 4 has the higher revision and is applied. Ruled out: remembering the era in which the routes in force were written, because a balancer that reads them from a peer learns the peer's revision only.

Change: versions increase, so the version decides, and the revision only between equal versions. Routes without change of version are applied as before.

Result: RestoredStoreTest.ConfigurationWrittenAgainReplacesANewerOne fails without the change and passes; test_flows (137) and test_platform pass.

--- a/packages/flows/include/burdockstream/flows/FlowBalancer.h
+++ b/packages/flows/include/burdockstream/flows/FlowBalancer.h
@@ -129,8 +129,8 @@
 
   // Applies Table if it is newer than the routes in force, see isNewer(), and
   // returns whether it was applied. If it is not, but has a higher revision,
-  // the routes in force take that revision: they are valid in the later era,
-  // too. Precondition: Table is not null.
+  // the routes in force take that revision: they replace Table in its era, too.
+  // Precondition: Table is not null.
   bool setRoutes(const std::shared_ptr<const RouteTable> &Table,
                  base::TimePoint Now);
 
--- a/packages/flows/include/burdockstream/flows/RouteTable.h
+++ b/packages/flows/include/burdockstream/flows/RouteTable.h
@@ -67,10 +67,11 @@
 // any thread.
 base::ServiceId chooseService(const Route &Route, const FlowKey &Flow);
 
-// Returns whether Candidate holds a newer configuration than InForce. Within an
-// era of the store the revision decides. Across eras the operators' version
-// does: the store may hold an older configuration at a revision of a later era
-// until the operators write the newest one again. Thread safety: any thread.
+// Returns whether Candidate holds a newer configuration than InForce: one with
+// a higher version or, of the same version, with a higher revision. A store
+// that returns from an older copy holds older configurations at higher
+// revisions until the operators have written the newest one again. Thread
+// safety: any thread.
 bool isNewer(const RouteTable &Candidate, const RouteTable &InForce);
 
 // Adds to FormerServices of each route in Newer the current and former services
--- a/packages/flows/src/RouteTable.cpp
+++ b/packages/flows/src/RouteTable.cpp
@@ -1,10 +1,10 @@
 #include "burdockstream/flows/RouteTable.h"
 
 #include "burdockstream/base/NameTable.h"
-#include "burdockstream/base/StoreEra.h"
 
 #include <algorithm>
 #include <glog/logging.h>
+#include <tuple>
 
 namespace burdockstream::flows {
 
@@ -42,10 +42,8 @@
 }
 
 bool isNewer(const RouteTable &Candidate, const RouteTable &InForce) {
-  if (base::eraOf(Candidate.Revision) != base::eraOf(InForce.Revision) &&
-      Candidate.Version != InForce.Version)
-    return Candidate.Version > InForce.Version;
-  return Candidate.Revision > InForce.Revision;
+  return std::tie(Candidate.Version, Candidate.Revision) >
+         std::tie(InForce.Version, InForce.Revision);
 }
 
 void mergeFormerServices(const RouteTable &Older, RouteTable &Newer) {
--- a/packages/flows/test/RestoredStoreTest.cpp
+++ b/packages/flows/test/RestoredStoreTest.cpp
@@ -62,6 +62,13 @@
   EXPECT_TRUE(opensVaultFlow(0, 40001));
 }
 
+// The operators write all configurations again that the copy lacks, one by one.
+TEST_F(RestoredStoreTest, ConfigurationWrittenAgainReplacesANewerOne) {
+  setRoutes(0, 3, InCopy);
+  setRoutes(0, 4, WrittenAgain);
+  EXPECT_TRUE(opensVaultFlow(0, 40001));
+}
+
 TEST_F(RestoredStoreTest, NewerConfigurationOfAnEarlierEraIsIgnored) {
   Sim.restartBalancer(1);
   Sim.listAll();
