--- a/testing/platform_standin/include/burdockstream/testing/PlatformStoreStandIn.h
+++ b/testing/platform_standin/include/burdockstream/testing/PlatformStoreStandIn.h
@@ -27,6 +27,7 @@
   Silent,     // no answer comes
   Malformed,  // answers are JSON, but not of the documented form
   LostAnswer, // writes are done, but not answered
+  InvalidEra, // answers name an era that is not a number
 };
 
 // Thread safety, for all methods: loop thread only.
--- a/testing/platform_standin/src/PlatformStoreStandIn.cpp
+++ b/testing/platform_standin/src/PlatformStoreStandIn.cpp
@@ -98,7 +98,8 @@
 
 void PlatformStoreStandIn::reply(const std::shared_ptr<http::Responder> &Out,
                                  http::ServerAnswer Answer) const {
-  Answer.Headers["Store-Era"] = std::to_string(Era);
+  Answer.Headers["Store-Era"] =
+      Fault == StoreFault::InvalidEra ? "9 of 12" : std::to_string(Era);
   Out->send(Answer);
 }
 
@@ -147,6 +148,7 @@
                                  const std::shared_ptr<http::Responder> &Out) {
   switch (Fault) {
   case StoreFault::None:
+  case StoreFault::InvalidEra:
     return false;
   case StoreFault::Busy:
     reply(Out, empty(503));
