Let the soak's operators write changes again some time after a return

Cause: in the soak the store showed an older copy and what operators wrote again at the same moment, so no process ever read the copy's configuration. Draws and their order are as before.

--- a/testing/flow_soak/src/FlowSoak.cpp
+++ b/testing/flow_soak/src/FlowSoak.cpp
@@ -23,6 +23,7 @@
 constexpr base::SocketAddress ShopAddress{0xC6120001, 443};
 constexpr base::SocketAddress VaultAddress{0xC6120002, 443};
 constexpr base::SocketAddress StoreAddress{0x7F140001, 18169};
+
 // The configuration with so many more routes that see no traffic.
 std::string routes(uint64_t Version) {
   std::string Text = "{\"version\":" + std::to_string(Version) +
@@ -84,8 +85,10 @@
         Report.Found);
     const guint Ticks =
         network::callEvery(milliseconds(20), [this] { Clients->tick(); });
-    const guint Copies =
-        network::callEvery(CopyInterval, [this] { Store.copy(); });
+    const guint Copies = network::callEvery(CopyInterval, [this] {
+      if (PendingRewrites == 0) // the copy would lack these changes
+        Store.copy();
+    });
     const guint Polls =
         network::callEvery(ReportInterval, [this] { Routes.poll(); });
     e2e::runLoopFor(milliseconds(1000));
@@ -217,13 +220,18 @@
     });
   }
 
-  void returnFromCopy(milliseconds Away) {
+  // The operators write again what the copy lacks after RewriteDelay.
+  void returnFromCopy(milliseconds Away, milliseconds RewriteDelay) {
     Store.setFault(StoreFault::Reset);
+    ++PendingRewrites;
     later(Away, [this] {
       Store.restore();
-      Store.rewriteOperatorChanges();
       Store.setFault(StoreFault::None);
     });
+    later(Away + RewriteDelay, [this] {
+      Store.rewriteOperatorChanges();
+      --PendingRewrites;
+    });
   }
 
   void inject() {
@@ -265,8 +273,9 @@
     case 8:
       return replaceTarget(TargetDrainTime);
     case 9:
+      return returnFromCopy(milliseconds(Pause), milliseconds(0));
     case 10:
-      return returnFromCopy(milliseconds(Pause));
+      return returnFromCopy(milliseconds(Pause), milliseconds(Pause));
     case 11:
       for (int I = 0; I < ConfigSeries; ++I)
         later(I * ConfigGap,
@@ -288,6 +297,7 @@
   uint64_t Rotation = 0;
   uint64_t Starts = 0; // of processes
   uint64_t Version = 3;
+  uint64_t PendingRewrites = 0;
   bool TargetLeaves = false;
   std::shared_ptr<int> LifetimeToken = std::make_shared<int>(0);
 };
