Name the check of a lease after a reply

Cause: keepsLease() reads like a property, but requests a new lease if the era of the old one has ended. Change: it is checkLease(), and its comment says what it does; one header is formatted. Result: no behaviour changed; test_platform passes (38).

--- a/packages/flowd/include/burdockstream/flowd/AgentRegistration.h
+++ b/packages/flowd/include/burdockstream/flowd/AgentRegistration.h
@@ -62,10 +62,10 @@
   void renew();
   void fail(const base::Error &Reason);
   void reportLost(const base::Error &Reason);
-  // Handles the reply to a call that used UsedLease. Returns whether the
-  // registration goes on under that lease; otherwise another call already
-  // replaces it, or a new one is requested here.
-  bool keepsLease(store::LeaseId UsedLease);
+  // Checks after a reply to a call that used UsedLease whether it is still the
+  // lease of the entry, and requests a new one if its era has ended. Returns
+  // whether the reply is to be handled.
+  bool checkLease(store::LeaseId UsedLease);
   // Writes the ended entry under EndingLease, and then ends the lease.
   void writeEnded(store::LeaseId EndingLease, base::Era GrantedIn,
                   std::function<void()> Done);
--- a/packages/flowd/src/AgentRegistration.cpp
+++ b/packages/flowd/src/AgentRegistration.cpp
@@ -58,7 +58,7 @@
   Store.put({formatEntryKey(Entry.Agent), formatEntryValue(Entry), Lease},
             ifAlive([this, UsedLease = Lease](base::Result<void> Reply) {
               Writing = false;
-              if (!keepsLease(UsedLease))
+              if (!checkLease(UsedLease))
                 return;
               if (Reply.has_error())
                 return fail(Reply.error());
@@ -72,7 +72,7 @@
 void AgentRegistration::renew() {
   Store.keepAlive(Lease, ifAlive([this, UsedLease = Lease](
                                      base::Result<store::LeaseReply> Reply) {
-                    if (!keepsLease(UsedLease))
+                    if (!checkLease(UsedLease))
                       return;
                     if (Reply.has_error())
                       return fail(Reply.error());
@@ -81,7 +81,7 @@
                   }));
 }
 
-bool AgentRegistration::keepsLease(store::LeaseId UsedLease) {
+bool AgentRegistration::checkLease(store::LeaseId UsedLease) {
   if (UsedLease != Lease)
     return false;
   if (Store.era() == LeaseEra)
--- a/testing/platform_standin/include/burdockstream/testing/PlatformPacketWriter.h
+++ b/testing/platform_standin/include/burdockstream/testing/PlatformPacketWriter.h
@@ -20,8 +20,8 @@
   base::SocketAddress To;
   uint8_t Flags = 0;
   uint32_t Acknowledged = 0;
-  uint32_t Request = 0; // number of a request or its answer; 0: no data
-  size_t DataBytes = 4; // of a packet with a request; at least 4
+  uint32_t Request = 0;  // number of a request or its answer; 0: no data
+  size_t DataBytes = 4;  // of a packet with a request; at least 4
   uint32_t Sequence = 0; // of a packet without a request
 };
 
