Let the soak run with 150 processes

A trace of an agent's calls shows connections to the stand-in that are not accepted within the call's second; the kernel counts 503 overflows of its accept queue, of 10 connections, in one run. All agents connect again at once when the store is back. Besides, the soak's loop was busy for 80 to 90 percent of a core with 1,800 sockets, most of them idle, since libsoup sends each POST on a new connection.

Ruled out: the machine's load (33 agents without an entry with a third of the processors idle), the search through the stand-in's history (39), the reports of the balancers (35), and the daemons: the same ones pass once the queue is longer.

Change: a server's accept queue is a parameter, which the stand-in sets to 1,024; daemons keep GSocket's 10. The stand-in and the soak's targets close the connections of POSTs, and a watch without news is left before its answer is built.

Tests of http, platform, store, standins, flowd, admin and ctl pass.

--- a/packages/http/include/burdockstream/http/HttpServer.h
+++ b/packages/http/include/burdockstream/http/HttpServer.h
@@ -62,6 +62,8 @@
 using Handler = std::function<void(const ServerRequest &,
                                    const std::shared_ptr<Responder> &)>;
 
+inline constexpr int DefaultBacklog = 10; // that of GSocket
+
 class HttpServer {
 public:
   explicit HttpServer(Handler InitHandler);
@@ -69,9 +71,12 @@
   HttpServer(const HttpServer &) = delete;
   HttpServer &operator=(const HttpServer &) = delete;
 
-  // Starts to accept connections on Address. Errors: Unavailable if the address
-  // cannot be bound. Thread safety: loop thread only.
-  base::Result<void> listen(base::SocketAddress Address);
+  // Starts to accept connections on Address. At most Backlog connections wait
+  // to be accepted; the kernel drops further ones, whose clients try again
+  // after a second. Errors: Unavailable if the address cannot be bound. Thread
+  // safety: loop thread only.
+  base::Result<void> listen(base::SocketAddress Address,
+                            int Backlog = DefaultBacklog);
 
   // Stops accepting connections and closes the open ones; listen() may be
   // called again. Thread safety: loop thread only.
--- a/packages/http/src/HttpServer.cpp
+++ b/packages/http/src/HttpServer.cpp
@@ -128,6 +128,19 @@
   Handle(Request, std::make_shared<SoupResponder>(Message));
 }
 
+// Returns nothing and sets Cause if Address cannot be bound.
+GSocket *openListener(GSocketAddress *Address, int Backlog, GError **Cause) {
+  GSocket *Socket = g_socket_new(G_SOCKET_FAMILY_IPV4, G_SOCKET_TYPE_STREAM,
+                                 G_SOCKET_PROTOCOL_TCP, Cause);
+  if (!Socket)
+    return nullptr;
+  g_socket_set_listen_backlog(Socket, Backlog);
+  if (!g_socket_bind(Socket, Address, TRUE, Cause) ||
+      !g_socket_listen(Socket, Cause))
+    g_clear_object(&Socket);
+  return Socket;
+}
+
 } // namespace
 
 HttpServer::HttpServer(Handler InitHandler)
@@ -141,14 +154,18 @@
   g_object_unref(Server);
 }
 
-base::Result<void> HttpServer::listen(base::SocketAddress Address) {
+base::Result<void> HttpServer::listen(base::SocketAddress Address,
+                                      int Backlog) {
   const std::string Text = base::toString(Address);
   const std::string Ip = Text.substr(0, Text.find(':'));
   GSocketAddress *Native =
       g_inet_socket_address_new_from_string(Ip.c_str(), Address.Port);
   GError *Cause = nullptr;
+  GSocket *Socket = openListener(Native, Backlog, &Cause);
   const gboolean Listening =
-      soup_server_listen(Server, Native, SoupServerListenOptions(0), &Cause);
+      Socket && soup_server_listen_socket(Server, Socket,
+                                          SoupServerListenOptions(0), &Cause);
+  g_clear_object(&Socket);
   g_object_unref(Native);
   if (Listening)
     return boost::outcome_v2::success();
--- a/testing/flow_soak/src/SoakParts.cpp
+++ b/testing/flow_soak/src/SoakParts.cpp
@@ -84,7 +84,12 @@
   const std::string Url = "http://" +
                           base::toString(place(2, Index, HeartbeatPort)) +
                           "/api/Endpoints.Heartbeat/i-" + std::to_string(Index);
-  Client.send({Url, base::compactJson(Body), {}, std::chrono::seconds(1)},
+  // libsoup sends each POST on a new connection; those of a large fleet must
+  // not stay open, since the loop polls all of them.
+  Client.send({Url,
+               base::compactJson(Body),
+               {{"Connection", "close"}},
+               std::chrono::seconds(1)},
               [this, Says = Draining,
                Run = Born](const base::Result<http::HttpResponse> &Answer) {
                 if (Says && Run == Born && DrainAckedAtMs == 0 &&
--- a/testing/platform_standin/src/PlatformStoreStandIn.cpp
+++ b/testing/platform_standin/src/PlatformStoreStandIn.cpp
@@ -5,6 +5,7 @@
 #include "burdockstream/store/Base64.h"
 
 #include <algorithm>
+#include <span>
 #include <utility>
 
 namespace burdockstream::testing {
@@ -14,6 +15,9 @@
 constexpr std::chrono::milliseconds TickInterval{20};
 constexpr size_t PageItems = 50; // small, so that tests see several pages
 
+// For a fleet whose processes all connect again when the store is back.
+constexpr int Backlog = 1024;
+
 int64_t nowMs() { return g_get_monotonic_time() / 1000; }
 
 http::ServerAnswer answer(unsigned Status, const Json::Value &Body) {
@@ -39,6 +43,13 @@
                               : Json::Value(Json::objectValue);
 }
 
+// Closes the connection behind Answer. libsoup sends each POST on a new
+// connection; idle ones slow down the loop of a test with many processes.
+http::ServerAnswer closing(http::ServerAnswer Answer) {
+  Answer.Headers["Connection"] = "close";
+  return Answer;
+}
+
 // Returns the id behind Prefix in Path, or -1.
 int64_t idAfter(const std::string &Path, const std::string &Prefix) {
   return Path.starts_with(Prefix) ? number(Path.substr(Prefix.size())) : -1;
@@ -57,7 +68,7 @@
 PlatformStoreStandIn::~PlatformStoreStandIn() { g_source_remove(Timer); }
 
 base::Result<void> PlatformStoreStandIn::listen(base::SocketAddress Address) {
-  return Server.listen(Address);
+  return Server.listen(Address, Backlog);
 }
 
 int64_t PlatformStoreStandIn::put(const std::string &Key,
@@ -189,11 +200,11 @@
     reply(Out,
           readRange(parameter(Request, "prefix"), parameter(Request, "after")));
   else if (Request.Path == "/api/kv-txn")
-    reply(Out, transact(Request.Body));
+    reply(Out, closing(transact(Request.Body)));
   else if (Request.Path == "/api/kv-lease")
-    reply(Out, grant(Request.Body));
+    reply(Out, closing(grant(Request.Body)));
   else if (Keep >= 0)
-    reply(Out, keep(Keep));
+    reply(Out, closing(keep(Keep)));
   else if (End >= 0)
     reply(Out, end(End));
   else if (Request.Path == "/api/kv-watch")
@@ -335,11 +346,17 @@
     reply(Waiting.Out, empty(410));
     return true;
   }
+  const bool IsOver = nowMs() >= Waiting.EndsAtMs;
+  const auto Newer = std::upper_bound(
+      Current.History.begin(), Current.History.end(), Waiting.After,
+      [](int64_t After, const Event &Each) { return After < Each.Revision; });
+  if (Newer == Current.History.end() && !IsOver)
+    return false; // most watches, at each request of a large fleet
   Json::Value Body;
   Body["events"] = Json::arrayValue;
   Body["at"] = Json::Int64(Current.Revision);
-  for (const Event &Each : Current.History) {
-    if (Each.Revision <= Waiting.After || !Each.Key.starts_with(Waiting.Prefix))
+  for (const Event &Each : std::span(Newer, Current.History.end())) {
+    if (!Each.Key.starts_with(Waiting.Prefix))
       continue;
     const auto Found = Current.Items.find(Each.Key);
     Json::Value Entry;
@@ -354,7 +371,7 @@
       continue; // a later event of the same key follows
     Body["events"].append(Entry);
   }
-  if (Body["events"].empty() && nowMs() < Waiting.EndsAtMs)
+  if (Body["events"].empty() && !IsOver)
     return false;
   reply(Waiting.Out, answer(200, Body));
   return true;
