--- a/review/3/scenario.py
+++ b/review/3/scenario.py
@@ -7,8 +7,8 @@
 from deployment import *  # noqa: E402,F403
 
 # Zone: numbers of its balancers, of its machines with shop and of those with vault.
-ZONES = {"zone-a": ((10, 11), range(41, 46), (46,)), "zone-b": ((12, 13), range(51, 56), (56,)),
-         "zone-c": ((14,), range(61, 66), ())}
+ZONES = {"zone-a": ((10, 11), range(41, 47), (47,)), "zone-b": ((12, 13), range(51, 57), (57,)),
+         "zone-c": ((14,), range(61, 67), ())}
 REUSED = 61  # the machine in zone-c whose address goes from shop to vault
 FLOWS = 100
 PAUSE_S = 8  # of the clients between two requests of a flow
--- a/review/stage/store.py
+++ b/review/stage/store.py
@@ -20,7 +20,7 @@
         self.changed = asyncio.Event()
 
     async def start(self, host, port):
-        self.server = await http11.serve(host, port, self.handle)
+        self.server = await http11.serve(host, port, lambda request: self.handle(request))
         self.expiry = asyncio.ensure_future(self.expire())
 
     # What the operator does.
