--- a/review/1/scenario.py
+++ b/review/1/scenario.py
@@ -28,7 +28,7 @@
 
 
 async def scenario(site):
-    await site.start_store(config(3, [("board", "198.18.0.1", 8443, "idempotent", "shop")], [("shop", {})]))
+    await site.start_store(config(3, [("board", "127.200.0.1", 8443, "idempotent", "shop")], [("shop", {})]))
     seeds = [f"{site.ip(numbers[0])}:{site.port('control_plane')}" for numbers, _ in ZONES.values()]
     for zone, (balancers, endpoints) in ZONES.items():
         for number in balancers:
@@ -50,7 +50,7 @@
     for index, zone in enumerate(ZONES):
         await add_client(site, 101 + index)
         for _ in range(FLOWS_PER_ZONE):
-            flow = Flow(site, 101 + index, zone, "198.18.0.1", 8443)
+            flow = Flow(site, 101 + index, zone, "127.200.0.1", 8443)
             flows.append(flow)
             clients.append(asyncio.ensure_future(use(site, flow)))
             await asyncio.sleep(0.05)
--- a/review/3/scenario.py
+++ b/review/3/scenario.py
@@ -30,8 +30,8 @@
 
 
 async def scenario(site):
-    await site.start_store(config(3, [("board", "198.18.0.1", 8443, "idempotent", "shop"),
-                                      ("sheet", "198.18.0.2", 8443, "idempotent", "vault")],
+    await site.start_store(config(3, [("board", "127.200.0.1", 8443, "idempotent", "shop"),
+                                      ("sheet", "127.200.0.2", 8443, "idempotent", "vault")],
                                   [("shop", {}), ("vault", {})]))
     seeds = [f"{site.ip(balancers[0])}:{site.port('control_plane')}" for balancers, _, _ in ZONES.values()]
     agents, endpoints = {}, {}
@@ -77,7 +77,7 @@
     await asyncio.sleep(FLOWS_AT_S - site.now())
     clients, flows = [], []
     for _ in range(FLOWS):
-        flows.append(Flow(site, 101, "zone-c", "198.18.0.2", 8443))
+        flows.append(Flow(site, 101, "zone-c", "127.200.0.2", 8443))
         clients.append(asyncio.ensure_future(use(site, flows[-1])))
         await asyncio.sleep(0.03)
     await asyncio.sleep(RESTARTS_AT_S - site.now())
--- a/review/4/scenario.py
+++ b/review/4/scenario.py
@@ -50,8 +50,8 @@
 
 
 async def scenario(site):
-    await site.start_store(config(3, [("board", "198.18.0.1", 8443, "idempotent", "shop"),
-                                      ("sheet", "198.18.0.2", 8443, "idempotent", "vault")],
+    await site.start_store(config(3, [("board", "127.200.0.1", 8443, "idempotent", "shop"),
+                                      ("sheet", "127.200.0.2", 8443, "idempotent", "vault")],
                                   [("shop", {}), ("vault", {})]))
     path = LossyPath(site)
     await http11.serve(site.ip(2), site.port("store"), path.handle)
@@ -91,7 +91,7 @@
         raise CannotRun("no answer was lost")
     stop, clients, flows = asyncio.Event(), [], []
     for _ in range(FLOWS):
-        flows.append(Flow(site, 101, "zone-a", "198.18.0.2", 8443))
+        flows.append(Flow(site, 101, "zone-a", "127.200.0.2", 8443))
         clients.append(asyncio.ensure_future(use(site, flows[-1], stop)))
         await asyncio.sleep(0.01)
     await asyncio.sleep(lost_at + RESTART_AFTER_S - site.now())
