Ask agents whose last status says that the target has ended

Cause: FlowBalancer::ask skipped an agent whose last status was Stopped and counted it as one without the flow. The status may be of any age: without a subscription no later one arrives, and a balancer keeps only some of the subscriptions of its start.

Change: every agent is asked. A search waits for the agent of a target that has stopped recently, by a status since the subscription, no longer than for a lost agent.

--- a/packages/flows/include/burdockstream/flows/FlowBalancer.h
+++ b/packages/flows/include/burdockstream/flows/FlowBalancer.h
@@ -236,8 +236,10 @@
     // Subset of Outstanding that gets trial deliveries.
     std::vector<TargetIndex> Undecided;
     SearchStage Stage = SearchStage::Preferred;
-    base::TimePoint LostAgentsAnswerBy{}; // see LostAgentAnswerTimeout
-    uint32_t Acknowledged = 0;            // last of the client, for a reset
+    // See LostAgentAnswerTimeout.
+    base::TimePoint LostAgentsAnswerBy{};
+    base::TimePoint StoppedAgentsAnswerBy{}; // of hasStoppedRecently()
+    uint32_t Acknowledged = 0;               // last of the client, for a reset
     // Packets of the client, to be forwarded to the holder.
     // At least one, at most MaxBufferedPackets.
     std::vector<OwnedPacket> Buffered;
--- a/packages/flows/include/burdockstream/flows/TargetTable.h
+++ b/packages/flows/include/burdockstream/flows/TargetTable.h
@@ -143,6 +143,12 @@
 // its status is recent. Thread safety: any thread.
 bool acceptsFlows(const Target &Target, base::TimePoint Now);
 
+// Returns whether the last status says that the target's process has ended, and
+// is recent: the agent would have sent a later one to this balancer. A target
+// whose agent has no subscription may have started since. Thread safety: any
+// thread.
+bool hasStoppedRecently(const Target &Target, base::TimePoint Now);
+
 // Returns whether the agent of Target counts as lost: it has a subscription and
 // has been silent for longer than its state allows. Thread safety: any thread.
 bool isLost(const Target &Target, base::TimePoint Now);
--- a/packages/flows/src/FlowSearch.cpp
+++ b/packages/flows/src/FlowSearch.cpp
@@ -125,17 +125,18 @@
   return SearchByteBucket.consume(Bytes, Now);
 }
 
-// Asks Holders for the flow of Header. Agents that count as lost are asked too,
-// but the search waits for them no longer than LostAgentAnswerTimeout.
+// Asks Holders for the flow of Header, whatever their last statuses say: the
+// target of a stopped one may have started since. Agents that count as lost are
+// asked too, but the search waits for them no longer than
+// LostAgentAnswerTimeout.
 void FlowBalancer::ask(Search &Running, const std::vector<TargetIndex> &Holders,
                        std::span<const uint8_t> Header, base::TimePoint Now) {
   for (const TargetIndex Index : Holders) {
     const Target &Agent = *Targets.at(Index);
     Running.Queried.push_back(Index);
-    // The flows of an ended process no longer exist.
-    if (Agent.HasStatus && Agent.Status.State == TargetState::Stopped)
-      continue;
     Batch.add(Agent.Agent, Agent.Service, Header);
+    if (hasStoppedRecently(Agent, Now))
+      Running.StoppedAgentsAnswerBy = Now + LostAgentAnswerTimeout;
     if (isLost(Agent, Now))
       Running.LostAgentsAnswerBy = Now + LostAgentAnswerTimeout;
     else
@@ -190,13 +191,16 @@
   Batch.flush(routesRevision(), Hooks.SendFrame);
 }
 
-// Stops waiting for agents that have left, or that count as lost without ever
-// having sent a status. An agent that has fallen silent during the search is
-// still waited for, since the balancer itself may be overloaded.
+// Stops waiting for agents that have left, that count as lost without ever
+// having sent a status, or that have had time to contradict a recent status
+// that their target has ended. An agent that has fallen silent during the
+// search is still waited for, since the balancer itself may be overloaded.
 void FlowBalancer::dropDepartedAgents(Search &Running, base::TimePoint Now) {
   const auto HasLeft = [&](TargetIndex Index) {
     const Target *Silent = Targets.at(Index);
-    return !Silent || (!Silent->HasStatus && isLost(*Silent, Now));
+    return !Silent || (!Silent->HasStatus && isLost(*Silent, Now)) ||
+           (Now >= Running.StoppedAgentsAnswerBy &&
+            hasStoppedRecently(*Silent, Now));
   };
   std::erase_if(Running.Outstanding, HasLeft);
   std::erase_if(Running.Undecided, HasLeft);
--- a/packages/flows/src/TargetTable.cpp
+++ b/packages/flows/src/TargetTable.cpp
@@ -118,6 +118,12 @@
          !Target.Evacuated && Now - Target.LastStatusAt <= StatusStaleAfter;
 }
 
+bool hasStoppedRecently(const Target &Target, base::TimePoint Now) {
+  return Target.HasStatus && Target.Status.State == TargetState::Stopped &&
+         Target.Subscribed && Target.SubscribedSince <= Target.LastStatusAt &&
+         Now - Target.LastStatusAt <= AgentLostAfter;
+}
+
 bool isLost(const Target &Target, base::TimePoint Now) {
   if (!Target.Subscribed)
     return false;
