Take only an answer of the store as proof that a view is current

Cause: PollingWatch::catchUp called Done at once while a watch call was waiting. The lost answer held the entry of the endpoint's agent, so the balancer asked all others and reset the flow. Evidence: reset_unheld without store_lost; with the answer held back, the mirror of the test lacks the key after catchUp(). Ruled out: entries written late (the other balancer has read it), the search (it asks all known agents).

Change: catchUp sends a second watch call that does not wait; its answer is the proof. Events that it returns and the waiting call did not give that call up. An event at or below the last reported revision is dropped, so a late answer cannot replace newer values. A balancer sends at most one such call in 1 ms per agent (20 to 500 ms) and part of the view, and decisions that wait for it are handled at the next tick. Openings are refused with a proof that is 0.5 s old or newer.

The same cause on related paths, each with a test: a request made during a check is served by the next one; a request survives a new read of the keys (before, it was lost and CatchingUp stayed set until the next outage); an answer counts for its own request only. StreamWatch of the etcd client gives no proof any more; nothing uses it.

--- a/packages/flowd/include/burdockstream/flowd/WatchedPrefix.h
+++ b/packages/flowd/include/burdockstream/flowd/WatchedPrefix.h
@@ -6,6 +6,7 @@
 #include "burdockstream/base/Time.h"
 #include "burdockstream/store/Store.h"
 
+#include <deque>
 #include <functional>
 #include <glib.h>
 #include <memory>
@@ -45,9 +46,10 @@
   // Thread safety: loop thread only.
   void readAgain();
 
-  // Calls Done once all changes made before this call have been reported. Done
-  // is not called if the store is unavailable or becomes so. Thread safety:
-  // loop thread only.
+  // Calls Done once an answer of the store, to a call that was sent after this
+  // one, shows that all changes made before have been reported. Done is not
+  // called if the store is unavailable or becomes so. Thread safety: loop
+  // thread only.
   void catchUp(std::function<void()> Done);
 
   // Returns whether the last call to the store succeeded. Thread safety: loop
@@ -60,6 +62,8 @@
   void onWatchEnd(const base::Error &Reason);
   void retry(const base::Error &Reason);
   void markSynchronized();
+  // Passes the requests in CatchUps on to the watch.
+  void requestCatchUp();
 
   store::Store &Store;
   std::string Prefix;
@@ -67,6 +71,9 @@
   WatchHooks Hooks;
   std::unique_ptr<store::Watch> Watch;
   bool Synchronized = false;
+  // Requests without an answer; they outlive a watch that is replaced.
+  std::deque<std::function<void()>> CatchUps;
+  uint64_t CatchUpsDone = 0; // requests that have left CatchUps
   base::Duration RetryDelay = MinRetryDelay;
   guint RetryTimer = 0;
   // Expires with the object; pending callbacks hold weak references to it.
--- a/packages/flowd/src/BalancerDaemon.cpp
+++ b/packages/flowd/src/BalancerDaemon.cpp
@@ -78,10 +78,10 @@
   Hooks.OnDecision = [this](const flows::FlowDecision &Decision) {
     Decisions.record(Decision, readClocks());
   };
-  Hooks.CatchUp = [this](flows::ViewPart Part) {
+  Hooks.CatchUp = [this](flows::ViewPart Part, base::TimePoint Since) {
     WatchedPrefix &Watched =
         Part == flows::ViewPart::Routes ? *Routes : *Agents;
-    Watched.catchUp([this, Part] { Core.markCaughtUp(Part); });
+    Watched.catchUp([this, Part, Since] { Core.markCaughtUp(Part, Since); });
   };
   Hooks.OnNewerRoutes = [this](base::Revision Revision,
                                base::SocketAddress Control) {
--- a/packages/flowd/src/WatchedPrefix.cpp
+++ b/packages/flowd/src/WatchedPrefix.cpp
@@ -45,6 +45,8 @@
         Hooks.OnEvent(Event);
       },
       [this](const base::Error &Reason) { onWatchEnd(Reason); });
+  if (!CatchUps.empty())
+    requestCatchUp();
 }
 
 void WatchedPrefix::readAgain() {
@@ -53,8 +55,23 @@
 }
 
 void WatchedPrefix::catchUp(std::function<void()> Done) {
-  if (Watch && Synchronized)
-    Watch->catchUp(std::move(Done));
+  if (!Synchronized)
+    return;
+  CatchUps.push_back(std::move(Done));
+  if (Watch)
+    requestCatchUp();
+}
+
+void WatchedPrefix::requestCatchUp() {
+  Watch->catchUp([this, End = CatchUpsDone + CatchUps.size(),
+                  Alive = std::weak_ptr(LifetimeToken)] {
+    while (!Alive.expired() && CatchUpsDone < End) {
+      const auto Done = std::move(CatchUps.front());
+      CatchUps.pop_front();
+      ++CatchUpsDone;
+      Done();
+    }
+  });
 }
 
 void WatchedPrefix::onWatchEnd(const base::Error &Reason) { retry(Reason); }
@@ -66,6 +83,8 @@
 }
 
 void WatchedPrefix::retry(const base::Error &Reason) {
+  CatchUpsDone += CatchUps.size();
+  CatchUps.clear();
   if (std::exchange(Synchronized, false) && Hooks.OnLost)
     Hooks.OnLost(Reason);
   if (RetryTimer != 0)
--- a/packages/flows/include/burdockstream/flows/FlowBalancer.h
+++ b/packages/flows/include/burdockstream/flows/FlowBalancer.h
@@ -51,10 +51,11 @@
   std::function<void(const FlowKey &, uint32_t Sequence)> SendReset;
   // For the decision log and metrics; may be empty.
   std::function<void(const FlowDecision &)> OnDecision;
-  // Requests all that the store holds now for a part of the view.
-  // markCaughtUp() must follow, possibly within the call, unless the store
-  // connection is lost. If empty, the view always counts as caught up.
-  std::function<void(ViewPart)> CatchUp;
+  // Requests all that the store holds at Since, the current time, for a part of
+  // the view. markCaughtUp() with the same Since must follow, possibly within
+  // the call, unless the store connection is lost. If empty, the view always
+  // counts as caught up.
+  std::function<void(ViewPart, base::TimePoint Since)> CatchUp;
   // An agent reports newer routes, which the balancer at Control can provide.
   // May be empty.
   std::function<void(base::Revision, base::SocketAddress Control)>
@@ -112,6 +113,21 @@
 // counted.
 inline constexpr base::Duration StallLimit = std::chrono::milliseconds(400);
 
+// Minimum interval between requests for all that the store holds now, which
+// cost a store call each: proportional to the number of agents, as a measure of
+// the number of balancers that share the store's rate limit.
+inline constexpr base::Duration CatchUpIntervalPerAgent =
+    std::chrono::milliseconds(1);
+inline constexpr base::Duration MinCatchUpInterval =
+    std::chrono::milliseconds(20);
+inline constexpr base::Duration MaxCatchUpInterval =
+    std::chrono::milliseconds(500);
+
+// An opening packet is refused for want of a route or a target only with a view
+// that had all changes this long ago. A flow that is not open loses little by a
+// wrong refusal, so that refusals under overload may share a store call.
+inline constexpr base::Duration RefusalViewAge = std::chrono::milliseconds(500);
+
 // Maximum number of targets that an opening packet is offered to.
 inline constexpr size_t MaxOffers = 4;
 
@@ -167,8 +183,9 @@
   // date.
   void setStoreFresh(bool Fresh);
 
-  // Part contains all that the store held when CatchUp was called for it.
-  void markCaughtUp(ViewPart Part);
+  // Part contains all that the store held at Since, as an answer of the store
+  // has shown.
+  void markCaughtUp(ViewPart Part, base::TimePoint Since);
 
   // Handles a client's packet from the fabric.
   void onClientPacket(const Packet &Packet, base::TimePoint Now);
@@ -226,7 +243,8 @@
   struct ViewAge {
     base::TimePoint CaughtUpAt{}; // it has all that was stored at that time
     base::TimePoint RequestedAt{};
-    bool CatchingUp = false;
+    bool CatchingUp = false; // the last request has not been answered
+    bool Wanted = false;     // a decision waits for the next request
   };
   // A running search for the target that holds a flow.
   struct Search {
@@ -312,6 +330,8 @@
   void sendPolicy(Target &To, base::TimePoint Now);
   bool isSettled(base::TimePoint Now) const;
   bool isCaughtUp(ViewPart Part, base::TimePoint Since, base::TimePoint Now);
+  void requestCatchUp(ViewPart Part, base::TimePoint Now);
+  void requestDueCatchUps(base::TimePoint Now);
   void recordListChange(base::TimePoint Now);
   void reportDecision(DecisionKind Kind, const FlowKey &Flow, TargetIndex Index,
                       size_t Candidates, base::TimePoint Now);
--- a/packages/flows/src/FlowBalancer.cpp
+++ b/packages/flows/src/FlowBalancer.cpp
@@ -39,17 +39,6 @@
   }
 }
 
-void FlowBalancer::onStoreRestored(base::TimePoint Now) {
-  ListKnownSince = Now;
-  RegistrationEnd = Now + RegistrationPeriod;
-  NextSubscriptionUpdate = Now; // listed agents may have left
-}
-
-void FlowBalancer::recordListChange(base::TimePoint Now) {
-  if (Now - ListKnownSince <= ListRecoveryPeriod)
-    LastListChange = Now;
-}
-
 void FlowBalancer::applyAgentEntry(const AgentEntry &Entry,
                                    base::TimePoint Now) {
   const bool Changed = Targets.applyEntry(Entry, Now);
@@ -73,35 +62,6 @@
   LastListChange = Now;
 }
 
-void FlowBalancer::setStoreFresh(bool Fresh) {
-  ReplayPending = ReplayPending || Fresh;
-  StoreFresh = Fresh;
-  for (ViewAge &Each : ViewAges)
-    Each.CatchingUp = Each.CatchingUp && Fresh;
-}
-
-// Returns whether Part contains all that was stored at Since; requests an
-// update if not.
-bool FlowBalancer::isCaughtUp(ViewPart Part, base::TimePoint Since,
-                              base::TimePoint Now) {
-  ViewAge &Age = ViewAges[static_cast<size_t>(Part)];
-  if (!Hooks.CatchUp || Age.CaughtUpAt >= Since)
-    return true;
-  if (!Age.CatchingUp && StoreFresh) {
-    Age.CatchingUp = true;
-    Age.RequestedAt = Now;
-    Hooks.CatchUp(Part); // may call markCaughtUp()
-  }
-  return Age.CaughtUpAt >= Since;
-}
-
-void FlowBalancer::markCaughtUp(ViewPart Part) {
-  ViewAge &Age = ViewAges[static_cast<size_t>(Part)];
-  Age.CaughtUpAt = Age.RequestedAt;
-  Age.CatchingUp = false;
-  ReplayPending = true;
-}
-
 void FlowBalancer::onClientPacket(const Packet &Packet, base::TimePoint Now) {
   ArrivedAt = Now;
   Parked.erase(Packet.Flow);
@@ -127,7 +87,8 @@
 void FlowBalancer::open(const Packet &Packet, base::TimePoint Now) {
   const Route *Route = Routes ? Routes->find(Packet.Flow) : nullptr;
   if (!Route) {
-    if (Routes && StoreFresh && isCaughtUp(ViewPart::Routes, ArrivedAt, Now))
+    if (Routes && StoreFresh &&
+        isCaughtUp(ViewPart::Routes, ArrivedAt - RefusalViewAge, Now))
       return refuse(Packet, DecisionKind::RefusedNoRoute, 0);
     park(Packet, ParkReason::RoutesOrTarget);
     return reportDecision(DecisionKind::DroppedNoRoute, Packet.Flow, NoTarget,
@@ -221,7 +182,7 @@
     return;
   }
   if (!Entry.MayBeOpen && isSettled(Now) &&
-      isCaughtUp(ViewPart::Agents, ArrivedAt, Now))
+      isCaughtUp(ViewPart::Agents, ArrivedAt - RefusalViewAge, Now))
     return refuse(Packet, DecisionKind::RefusedNoTarget,
                   Targets.ofService(Service).size());
   // The next attempt considers all targets again.
@@ -288,6 +249,7 @@
     Targets.resetSilence(Now);
   LastTick = Now;
   Targets.expire(Now);
+  requestDueCatchUps(Now);
   expireSearches(Now);
   Batching = true;
   retrySearches(Now);
@@ -350,11 +312,6 @@
   return Result;
 }
 
-bool FlowBalancer::isSettled(base::TimePoint Now) const {
-  return StoreFresh && ListKnown && PeersQueried &&
-         Now - LastListChange >= SettleTime && Now >= RegistrationEnd;
-}
-
 void FlowBalancer::reportDecision(DecisionKind Kind, const FlowKey &Flow,
                                   TargetIndex Index, size_t Candidates,
                                   base::TimePoint Now) {
--- a/packages/flows/test/FlowFixture.cpp
+++ b/packages/flows/test/FlowFixture.cpp
@@ -92,11 +92,11 @@
   Hooks.OnDecision = [this](const FlowDecision &Decision) {
     Decisions.push_back(Decision);
   };
-  Hooks.CatchUp = [this, Index](ViewPart Part) {
+  Hooks.CatchUp = [this, Index](ViewPart Part, base::TimePoint Since) {
     if (CatchUp)
-      CatchUp(Index, Part);
+      CatchUp(Index, Part, Since);
     else
-      Balancers[Index].Core->markCaughtUp(Part);
+      Balancers[Index].Core->markCaughtUp(Part, Since);
   };
   Hooks.OnNewerRoutes = [this](base::Revision Revision,
                                base::SocketAddress At) {
--- a/packages/flows/test/FlowFixture.h
+++ b/packages/flows/test/FlowFixture.h
@@ -126,7 +126,7 @@
   std::function<bool(base::SocketAddress To, FrameKind)> DropsFrame;
   // Handles BalancerHooks::CatchUp; if empty, the balancer is up to date at
   // once.
-  std::function<void(size_t Balancer, ViewPart)> CatchUp;
+  std::function<void(size_t Balancer, ViewPart, base::TimePoint Since)> CatchUp;
   // For routes set from now on.
   uint64_t RoutesVersion = 0;
   std::unordered_map<base::ServiceId, uint32_t> WarmupFlowsPerSecond;
--- a/packages/flows/test/LargeFleetTest.cpp
+++ b/packages/flows/test/LargeFleetTest.cpp
@@ -208,10 +208,10 @@
   const FlowKey Flow = Simulation::flow(40001);
   Sim.openAndRequest(0, Flow);
   ASSERT_EQ(Sim.holder(Flow), static_cast<int>(New));
-  Sim.CatchUp = [&](size_t Balancer, ViewPart Part) {
+  Sim.CatchUp = [&](size_t Balancer, ViewPart Part, base::TimePoint Since) {
     if (Balancer == 1 && Part == ViewPart::Agents)
       Sim.Balancers[1].Core->applyAgentEntry(Entry, Sim.Now);
-    Sim.Balancers[Balancer].Core->markCaughtUp(Part);
+    Sim.Balancers[Balancer].Core->markCaughtUp(Part, Since);
   };
   Sim.send(1, Flow);
   Sim.run(milliseconds(300));
--- a/packages/store/include/burdockstream/store/Store.h
+++ b/packages/store/include/burdockstream/store/Store.h
@@ -75,8 +75,9 @@
 public:
   virtual ~Watch() = default;
 
-  // Calls Done once all changes made before this call have been delivered. Done
-  // is not called if the watch ends first.
+  // Calls Done once an answer of the store, to a call that was sent after this
+  // one, shows that all changes made before have been delivered. Done is not
+  // called if the watch ends first, or if the store has no call that shows it.
   virtual void catchUp(std::function<void()> Done) = 0;
 };
 
--- a/packages/store/src/StoreClient.cpp
+++ b/packages/store/src/StoreClient.cpp
@@ -64,7 +64,8 @@
   explicit StreamWatch(std::unique_ptr<http::HttpStream> InitStream)
       : Stream(std::move(InitStream)) {}
 
-  void catchUp(std::function<void()> Done) override { Done(); }
+  // An open stream does not show that its events have arrived.
+  void catchUp(std::function<void()>) override {}
 
 private:
   std::unique_ptr<http::HttpStream> Stream;
--- a/testing/platform_standin/include/burdockstream/testing/PlatformStoreStandIn.h
+++ b/testing/platform_standin/include/burdockstream/testing/PlatformStoreStandIn.h
@@ -60,6 +60,11 @@
 
   void setFault(StoreFault Kind);
 
+  // Keeps the next answer with events to a watch of Prefix back until
+  // sendHeldAnswers(); its connection stays open. Other calls are served.
+  void holdNextWatchAnswer(const std::string &Prefix);
+  void sendHeldAnswers();
+
   bool has(const std::string &Key) const {
     return Current.Items.count(Key) != 0;
   }
@@ -119,7 +124,7 @@
   Json::Value toJson(const std::string &Key, const Item &Value) const;
   void reply(const std::shared_ptr<http::Responder> &Out,
              http::ServerAnswer Answer) const;
-  bool answerWatch(const Watcher &Waiting) const;
+  bool answerWatch(const Watcher &Waiting);
   void serveWatches();
   void tick();
 
@@ -131,6 +136,9 @@
   std::vector<OperatorChange> OperatorChanges;
   std::vector<Watcher> Watchers;
   std::vector<std::shared_ptr<http::Responder>> Unanswered;
+  std::optional<std::string> HeldPrefix; // see holdNextWatchAnswer()
+  std::vector<std::pair<std::shared_ptr<http::Responder>, http::ServerAnswer>>
+      HeldAnswers;
   std::map<std::string, uint64_t> Calls;
   StoreFault Fault = StoreFault::None;
   guint Timer = 0;
--- a/testing/platform_standin/src/PlatformStoreStandIn.cpp
+++ b/testing/platform_standin/src/PlatformStoreStandIn.cpp
@@ -145,6 +145,15 @@
       Waiting->abort();
 }
 
+void PlatformStoreStandIn::holdNextWatchAnswer(const std::string &Prefix) {
+  HeldPrefix = Prefix;
+}
+
+void PlatformStoreStandIn::sendHeldAnswers() {
+  for (const auto &[Out, Answer] : std::exchange(HeldAnswers, {}))
+    reply(Out, Answer);
+}
+
 std::string PlatformStoreStandIn::value(const std::string &Key) const {
   const auto Found = Current.Items.find(Key);
   return Found == Current.Items.end() ? "" : Found->second.Value;
@@ -341,7 +350,7 @@
 }
 
 // Answers a watch that has events or is over. Returns whether it did.
-bool PlatformStoreStandIn::answerWatch(const Watcher &Waiting) const {
+bool PlatformStoreStandIn::answerWatch(const Watcher &Waiting) {
   if (Waiting.After < Current.Compacted || Waiting.After > Current.Revision) {
     reply(Waiting.Out, empty(410));
     return true;
@@ -373,6 +382,11 @@
   }
   if (Body["events"].empty() && !IsOver)
     return false;
+  if (HeldPrefix == Waiting.Prefix && !Body["events"].empty()) {
+    HeldPrefix.reset();
+    HeldAnswers.emplace_back(Waiting.Out, answer(200, Body));
+    return true;
+  }
   reply(Waiting.Out, answer(200, Body));
   return true;
 }
