Space out checks of the store's view further

Cause: the check after each unknown route or flow costs a store call.

Change: at least 100 ms between two checks of a part of the view, and refusals of openings rest on a proof that is a second old, well within the time in which a configuration has to be in force (3 s). Searches still require an answer to a call sent after their start.

--- a/packages/flows/include/burdockstream/flows/FlowBalancer.h
+++ b/packages/flows/include/burdockstream/flows/FlowBalancer.h
@@ -119,14 +119,14 @@
 inline constexpr base::Duration CatchUpIntervalPerAgent =
     std::chrono::milliseconds(1);
 inline constexpr base::Duration MinCatchUpInterval =
-    std::chrono::milliseconds(20);
+    std::chrono::milliseconds(100);
 inline constexpr base::Duration MaxCatchUpInterval =
     std::chrono::milliseconds(500);
 
 // An opening packet is refused for want of a route or a target only with a view
 // that had all changes this long ago. A flow that is not open loses little by a
 // wrong refusal, so that refusals under overload may share a store call.
-inline constexpr base::Duration RefusalViewAge = std::chrono::milliseconds(500);
+inline constexpr base::Duration RefusalViewAge = std::chrono::seconds(1);
 
 // Maximum number of targets that an opening packet is offered to.
 inline constexpr size_t MaxOffers = 4;
