--- a/packages/flows/include/burdockstream/flows/FlowBalancer.h
+++ b/packages/flows/include/burdockstream/flows/FlowBalancer.h
@@ -256,7 +256,7 @@
     SearchStage Stage = SearchStage::Preferred;
     // See LostAgentAnswerTimeout.
     base::TimePoint LostAgentsAnswerBy{};
-    base::TimePoint StoppedAgentsAnswerBy{}; // of hasStoppedRecently()
+    base::TimePoint StoppedAgentsAnswerBy{}; // of hasCurrentlyStopped()
     uint32_t Acknowledged = 0;               // last of the client, for a reset
     // Packets of the client, to be forwarded to the holder.
     // At least one, at most MaxBufferedPackets.
--- a/packages/flows/include/burdockstream/flows/SearchLimits.h
+++ b/packages/flows/include/burdockstream/flows/SearchLimits.h
@@ -53,7 +53,7 @@
     std::chrono::milliseconds(500);
 
 // How long a search waits for agents that count as lost, or whose target has
-// recently stopped, before it resets the flow. Such an agent may be alive:
+// stopped, before it resets the flow. Such an agent may be alive:
 // after its restart it does not know this balancer until the next hello. The
 // time is several round trips.
 inline constexpr base::Duration LostAgentAnswerTimeout =
--- a/packages/flows/include/burdockstream/flows/TargetTable.h
+++ b/packages/flows/include/burdockstream/flows/TargetTable.h
@@ -49,6 +49,7 @@
   // Silence of an agent without a subscription carries no information.
   bool Subscribed = false;
   base::TimePoint SubscribedSince{};
+  bool StatusSinceSubscribed = false; // the last status is of this subscription
   base::TimePoint NextHello{};
   base::TimePoint NextPolicy{};
   // When a packet was last sent to the agent, or its answer was last awaited.
@@ -144,10 +145,10 @@
 bool acceptsFlows(const Target &Target, base::TimePoint Now);
 
 // Returns whether the last status says that the target's process has ended, and
-// is recent: the agent would have sent a later one to this balancer. A target
-// whose agent has no subscription may have started since. Thread safety: any
-// thread.
-bool hasStoppedRecently(const Target &Target, base::TimePoint Now);
+// its agent would have sent a later one to this balancer, unless it is lost. A
+// target whose agent has no subscription may have started since. Thread safety:
+// any thread.
+bool hasCurrentlyStopped(const Target &Target);
 
 // Returns whether the agent of Target counts as lost: it has a subscription and
 // has been silent for longer than its state allows. Thread safety: any thread.
--- a/packages/flows/src/FlowSearch.cpp
+++ b/packages/flows/src/FlowSearch.cpp
@@ -135,7 +135,7 @@
     const Target &Agent = *Targets.at(Index);
     Running.Queried.push_back(Index);
     Batch.add(Agent.Agent, Agent.Service, Header);
-    if (hasStoppedRecently(Agent, Now))
+    if (hasCurrentlyStopped(Agent))
       Running.StoppedAgentsAnswerBy = Now + LostAgentAnswerTimeout;
     if (isLost(Agent, Now))
       Running.LostAgentsAnswerBy = Now + LostAgentAnswerTimeout;
@@ -192,15 +192,15 @@
 }
 
 // Stops waiting for agents that have left, that count as lost without ever
-// having sent a status, or that have had time to contradict a recent status
-// that their target has ended. An agent that has fallen silent during the
+// having sent a status, or that have had time to contradict a status that
+// their target has ended. An agent that has fallen silent during the
 // search is still waited for, since the balancer itself may be overloaded.
 void FlowBalancer::dropDepartedAgents(Search &Running, base::TimePoint Now) {
   const auto HasLeft = [&](TargetIndex Index) {
     const Target *Silent = Targets.at(Index);
     return !Silent || (!Silent->HasStatus && isLost(*Silent, Now)) ||
            (Now >= Running.StoppedAgentsAnswerBy &&
-            hasStoppedRecently(*Silent, Now));
+            hasCurrentlyStopped(*Silent));
   };
   std::erase_if(Running.Outstanding, HasLeft);
   std::erase_if(Running.Undecided, HasLeft);
--- a/packages/flows/src/StatusSubscription.cpp
+++ b/packages/flows/src/StatusSubscription.cpp
@@ -72,6 +72,7 @@
                             requiresSubscription(*Each, Now);
     if (Subscribed && !Each->Subscribed) {
       Each->SubscribedSince = Now;
+      Each->StatusSinceSubscribed = false;
       Each->NextHello = Now;
     }
     Each->Subscribed = Subscribed;
--- a/packages/flows/src/TargetTable.cpp
+++ b/packages/flows/src/TargetTable.cpp
@@ -55,6 +55,7 @@
     return nullptr;
   Known.HasStatus = true;
   Known.LastStatusAt = Now;
+  Known.StatusSinceSubscribed = Known.Subscribed;
   Known.Status = Status;
   Known.FailureDomain = Status.FailureDomain;
   Known.UnreportedFlows = 0;
@@ -118,10 +119,9 @@
          !Target.Evacuated && Now - Target.LastStatusAt <= StatusStaleAfter;
 }
 
-bool hasStoppedRecently(const Target &Target, base::TimePoint Now) {
-  return Target.HasStatus && Target.Status.State == TargetState::Stopped &&
-         Target.Subscribed && Target.SubscribedSince <= Target.LastStatusAt &&
-         Now - Target.LastStatusAt <= AgentLostAfter;
+bool hasCurrentlyStopped(const Target &Target) {
+  return Target.Subscribed && Target.StatusSinceSubscribed &&
+         Target.Status.State == TargetState::Stopped;
 }
 
 bool isLost(const Target &Target, base::TimePoint Now) {
