Deny a flow only on knowledge of the target, not on a service's name

Cause: a balancer kept the service of an old status although a new entry named another one, and an agent that had restarted took a search by that name for proof that its target does not hold the flow. Evidence: with entry and status as in the case, five tests fail before: 21 resets, a NotHeld in place of Undecided, the former service at two of six balancers. Ruled out: the list of agents (the agent is asked), its answers to searches by its own name.

Change: agents answer from their knowledge of the target alone; an unknown flow that is forwarded by another service's name is delivered, and returned by the target if it does not hold it, as for the agent's own service. Answers name the agent's service, in former builds too: a denial by another name than the search's is no proof, and OtherService no longer leaves an agent out.

Either half holds beside a former build of the other role.

--- a/packages/flowd/src/AgentDaemon.cpp
+++ b/packages/flowd/src/AgentDaemon.cpp
@@ -186,7 +186,7 @@
   } else if (Frame && Frame->Header.Kind == flows::FrameKind::Search) {
     const auto Packets = flows::decodeHeaders(Environment.Codec, Frame->Body);
     if (!Packets.empty())
-      return Core.onSearches(From, Frame->Header, Packets);
+      return Core.onSearches(From, Packets);
   } else if (Frame) {
     const auto Packet =
         Environment.Codec.Decode(Frame->Body, flows::Sender::Client);
--- a/packages/flows/include/burdockstream/flows/FlowAgent.h
+++ b/packages/flows/include/burdockstream/flows/FlowAgent.h
@@ -159,8 +159,7 @@
   void setTarget(const TargetIdentity &Target, base::TimePoint Now);
 
   // Answers a search for the flows of Packets, each truncated to its header.
-  void onSearches(base::SocketAddress From, const FrameHeader &Header,
-                  std::span<const Packet> Packets);
+  void onSearches(base::SocketAddress From, std::span<const Packet> Packets);
 
   // Handles a frame of a balancer that carries one packet.
   void onFrame(base::SocketAddress From, const FrameHeader &Header,
@@ -251,9 +250,10 @@
   void onForward(base::SocketAddress From, const FrameHeader &Header,
                  const Packet &Packet, base::TimePoint Now);
   std::span<const uint8_t> headerOf(const Packet &Packet) const;
-  FrameKind lookUpFlow(const FrameHeader &Header, const Packet &Packet);
-  void onTrial(base::SocketAddress From, const FrameHeader &Header,
-               const Packet &Packet, base::TimePoint Now);
+  FrameKind lookUpFlow(const Packet &Packet);
+  bool knowsNotHeld(const FlowKey &Flow);
+  void onTrial(base::SocketAddress From, const Packet &Packet,
+               base::TimePoint Now);
   void deliverOpening(base::SocketAddress From, const FrameHeader &Header,
                       const Packet &Packet, base::TimePoint Now);
   void returnOpening(base::SocketAddress From, const FrameHeader &Header,
--- a/packages/flows/include/burdockstream/flows/FlowBalancer.h
+++ b/packages/flows/include/burdockstream/flows/FlowBalancer.h
@@ -308,6 +308,7 @@
   void finishSearch(const FlowKey &Flow, Search &Done, base::TimePoint Now);
   void addUnsubscribedTargets(base::ServiceId Service, const FlowEntry &Entry,
                               double Penalty);
+  void askAgain(TargetIndex Agent, const Packet &Packet, base::TimePoint Now);
   void onReturned(TargetIndex Agent, ReturnReason Reason, const Packet &Packet,
                   base::TimePoint Now);
   void onUndecided(TargetIndex Agent, const FlowKey &Flow, base::TimePoint Now);
--- a/packages/flows/include/burdockstream/flows/StatusSubscription.h
+++ b/packages/flows/include/burdockstream/flows/StatusSubscription.h
@@ -16,6 +16,9 @@
 //   know which listed agents are alive. It subscribes to all of them for a
 //   short time, so that flows of lost targets are reset without further
 //   delay.
+// - An address that another service uses again: an agent whose entry
+// contradicts
+//   its last status is subscribed to until it has sent the next one.
 // - Entries that expire in the store: an agent that is not listed is
 //   subscribed to, and stays in use if it answers.
 #ifndef BURDOCKSTREAM_FLOWS_STATUSSUBSCRIPTION_H
--- a/packages/flows/include/burdockstream/flows/TargetTable.h
+++ b/packages/flows/include/burdockstream/flows/TargetTable.h
@@ -1,7 +1,10 @@
 // The targets that a balancer knows, merged from the agents' entries in the
-// store and from the statuses that agents send. A status is more recent than
-// any entry, so an agent that sends statuses stays in use while the store lacks
-// its entry.
+// store and from the statuses that agents send. An agent that sends statuses
+// stays in use while the store lacks its entry. Service and failure domain are
+// those of the last statement, a status or a changed entry: an address may be
+// used again by another service, whose agent this balancer has no status of.
+// An entry that contradicts a recent status may be the older of the two, since
+// changes of entries are collected; the agent's next status decides.
 #ifndef BURDOCKSTREAM_FLOWS_TARGETTABLE_H
 #define BURDOCKSTREAM_FLOWS_TARGETTABLE_H
 
@@ -37,10 +40,12 @@
 struct Target {
   base::SocketAddress Agent;
   base::ServiceId Service;
+  std::string FailureDomain;
   // From the store; empty if the agent was never listed.
   std::string ServiceName;
-  std::string FailureDomain;
-  bool Listed = false; // in the store's list
+  std::string EntryDomain;
+  bool EntryDisputed = false; // it contradicts the last status
+  bool Listed = false;        // in the store's list
   base::TimePoint RemovedAt{};
   bool HasStatus = false; // whether a status has arrived
   // Arrival of the last status; before the first, when the target was added.
@@ -95,13 +100,18 @@
   // Applies the removal of an entry. The target stays until expire() drops it.
   void removeEntry(base::SocketAddress Agent, base::TimePoint Now);
 
+  // Applies the service that an agent names in an answer. Returns whether the
+  // table had another one.
+  bool setAnsweredService(TargetIndex Index, base::ServiceId Service);
+
   // Applies a status. Returns its target, or null if the status is a duplicate
   // or older than the last one of the same incarnation.
   Target *update(base::SocketAddress Agent, const TargetStatus &Status,
                  base::TimePoint Now);
 
   // Drops targets that are not listed and have sent no status for
-  // UnlistedRetention.
+  // UnlistedRetention. Applies disputed entries of agents that have fallen
+  // silent.
   void expire(base::TimePoint Now);
 
   // Restarts the silence time-out of all agents. For use after the balancer
@@ -133,6 +143,7 @@
 private:
   Target &add(base::SocketAddress Agent, base::TimePoint Now);
   void setService(TargetIndex Index, base::ServiceId Service);
+  void adoptEntry(Target &Known);
   void drop(TargetIndex Index);
 
   std::vector<std::unique_ptr<Target>> Targets; // null: dropped
--- a/packages/flows/src/AgentSearches.cpp
+++ b/packages/flows/src/AgentSearches.cpp
@@ -11,23 +11,25 @@
       std::min(Packet.Bytes.size(), Options.PacketHeaderBytes));
 }
 
-// Returns the kind of frame that answers whether the target holds the flow.
-FrameKind FlowAgent::lookUpFlow(const FrameHeader &Header,
-                                const Packet &Packet) {
-  const bool Foreign =
-      Header.Service != base::serviceIdOf(Options.Target.Service);
+// Returns the kind of frame that answers whether the target holds the flow. The
+// service that a search names is no evidence: it is that of the target as far
+// as the balancer knows.
+FrameKind FlowAgent::lookUpFlow(const Packet &Packet) {
   if (State != TargetState::Stopped && Flows.use(Packet.Flow))
     return FrameKind::Held;
-  const bool Knows = State == TargetState::Stopped || KnowsAllFlows ||
-                     Foreign || NotHeld.use(Packet.Flow);
-  return Knows ? FrameKind::NotHeld : FrameKind::Undecided;
+  return knowsNotHeld(Packet.Flow) ? FrameKind::NotHeld : FrameKind::Undecided;
 }
 
-void FlowAgent::onSearches(base::SocketAddress From, const FrameHeader &Header,
+// Returns whether the target cannot hold a flow that has no record.
+bool FlowAgent::knowsNotHeld(const FlowKey &Flow) {
+  return State == TargetState::Stopped || KnowsAllFlows || NotHeld.use(Flow);
+}
+
+void FlowAgent::onSearches(base::SocketAddress From,
                            std::span<const Packet> Packets) {
   std::map<FrameKind, std::vector<uint8_t>> Answers;
   for (const Packet &Each : Packets) {
-    std::vector<uint8_t> &Body = Answers[lookUpFlow(Header, Each)];
+    std::vector<uint8_t> &Body = Answers[lookUpFlow(Each)];
     const auto FlowHeader = headerOf(Each);
     Body.insert(Body.end(), FlowHeader.begin(), FlowHeader.end());
   }
@@ -36,10 +38,9 @@
 }
 
 // Trial delivery: the target returns the packet if it does not hold the flow.
-void FlowAgent::onTrial(base::SocketAddress From, const FrameHeader &Header,
-                        const Packet &Packet, base::TimePoint Now) {
-  if (const FrameKind Known = lookUpFlow(Header, Packet);
-      Known != FrameKind::Undecided)
+void FlowAgent::onTrial(base::SocketAddress From, const Packet &Packet,
+                        base::TimePoint Now) {
+  if (const FrameKind Known = lookUpFlow(Packet); Known != FrameKind::Undecided)
     return answer(From, Known, ReturnReason::None, headerOf(Packet));
   const auto FlowHeader = headerOf(Packet);
   Trials.insert(Packet.Flow) = {balancerIndex(From),
--- a/packages/flows/src/FlowAgent.cpp
+++ b/packages/flows/src/FlowAgent.cpp
@@ -48,7 +48,7 @@
   if (Packet.Opens)
     return onOpening(From, Header, Packet, Now);
   if (Header.Kind == FrameKind::Trial)
-    return onTrial(From, Header, Packet, Now);
+    return onTrial(From, Packet, Now);
   onForward(From, Header, Packet, Now);
 }
 
@@ -60,9 +60,11 @@
     return answer(From, FrameKind::Returned, ReturnReason::TargetStopped,
                   Packet.Bytes);
   }
-  // An unknown flow of another service must not reach this target, not even as
-  // a trial.
-  if (!Record && Header.Service != base::serviceIdOf(Options.Target.Service))
+  // The balancer names the service that it takes the target for. If that is an
+  // earlier one, the target may hold the flow all the same, and returns the
+  // packet if not.
+  if (!Record && Header.Service != base::serviceIdOf(Options.Target.Service) &&
+      knowsNotHeld(Packet.Flow))
     return answer(From, FrameKind::Returned, ReturnReason::OtherService,
                   Packet.Bytes);
   if (Record)
--- a/packages/flows/src/FlowSearch.cpp
+++ b/packages/flows/src/FlowSearch.cpp
@@ -297,12 +297,15 @@
   if (Index == NoTarget)
     return;
   ArrivedAt = Now;
+  const bool Misnamed = Targets.setAnsweredService(Index, Header.Service);
   switch (Header.Kind) {
   case FrameKind::Returned:
     return onReturned(Index, Header.Reason, Packet, Now);
   case FrameKind::Held:
     return onHeld(Index, Packet.Flow, Now);
   case FrameKind::NotHeld:
+    if (Misnamed)
+      return askAgain(Index, Packet, Now);
     return onNotHeld(Index, Packet.Flow, Now);
   case FrameKind::Undecided:
     return onUndecided(Index, Packet.Flow, Now);
@@ -311,6 +314,19 @@
   }
 }
 
+// Asks an agent that has denied the flow of Packet when asked by the name of
+// another service. Agents of former builds deny such a flow without knowing
+// whether their target holds it.
+void FlowBalancer::askAgain(TargetIndex Agent, const Packet &Packet,
+                            base::TimePoint Now) {
+  if (Searches.count(Packet.Flow) == 0 || !admitSearch(1, Now))
+    return; // it is still outstanding, so that it is asked again later
+  const Target &Asked = *Targets.at(Agent);
+  Batch.add(Asked.Agent, Asked.Service, headerOf(Packet));
+  if (!Batching)
+    sendSearches();
+}
+
 void FlowBalancer::onReturned(TargetIndex Agent, ReturnReason Reason,
                               const Packet &Packet, base::TimePoint Now) {
   FlowEntry *Entry = Flows.use(Packet.Flow);
@@ -319,7 +335,10 @@
       return forward(Packet, Entry->Target);
     if (Entry)
       Flows.erase(Packet.Flow);
-    return search(Packet, Agent, Now);
+    // Agents of former builds return unknown flows of another service without
+    // knowing whether their target holds them.
+    return search(Packet,
+                  Reason == ReturnReason::OtherService ? NoTarget : Agent, Now);
   }
   if (!Entry)
     return;
--- a/packages/flows/src/StatusSubscription.cpp
+++ b/packages/flows/src/StatusSubscription.cpp
@@ -17,8 +17,8 @@
 // Returns whether a subscription is required regardless of service and failure
 // domain.
 bool requiresSubscription(const Target &Target, base::TimePoint Now) {
-  return !Target.Listed || Now - Target.LastUsed <= RecentUsePeriod ||
-         isLost(Target, Now);
+  return !Target.Listed || Target.EntryDisputed ||
+         Now - Target.LastUsed <= RecentUsePeriod || isLost(Target, Now);
 }
 
 // Returns the remote targets of one service that this balancer subscribes to:
--- a/packages/flows/src/TargetTable.cpp
+++ b/packages/flows/src/TargetTable.cpp
@@ -5,6 +5,17 @@
 
 namespace burdockstream::flows {
 
+namespace {
+
+// Returns whether the store's entry and the last status name another service or
+// failure domain.
+bool contradictsStatus(const Target &Known) {
+  return base::serviceIdOf(Known.ServiceName) != Known.Status.Service ||
+         Known.EntryDomain != Known.Status.FailureDomain;
+}
+
+} // namespace
+
 bool TargetTable::setEntries(const std::vector<AgentEntry> &Entries,
                              base::TimePoint Now) {
   std::unordered_set<base::SocketAddress> Present;
@@ -29,14 +40,32 @@
   }
   const bool IsNew = indexOf(Entry.Agent) == NoTarget;
   Target &Known = add(Entry.Agent, Now);
-  const bool Changed = IsNew || Known.ServiceName != Entry.Service;
+  const bool ServiceChanged = IsNew || Known.ServiceName != Entry.Service;
+  const bool Changed =
+      ServiceChanged || Known.EntryDomain != Entry.FailureDomain;
   Known.Listed = true;
   Known.ServiceName = Entry.Service;
-  if (Known.HasStatus)
-    return Changed; // the agent's status is more recent than its entry
-  Known.FailureDomain = Entry.FailureDomain;
-  setService(indexOf(Entry.Agent), base::serviceIdOf(Entry.Service));
-  return Changed;
+  Known.EntryDomain = Entry.FailureDomain;
+  if (Known.HasStatus && Now - Known.LastStatusAt <= StatusStaleAfter)
+    Known.EntryDisputed =
+        Known.EntryDisputed || (Changed && contradictsStatus(Known));
+  else if (Changed)
+    adoptEntry(Known);
+  return ServiceChanged;
+}
+
+void TargetTable::adoptEntry(Target &Known) {
+  Known.EntryDisputed = false;
+  Known.FailureDomain = Known.EntryDomain;
+  setService(indexOf(Known.Agent), base::serviceIdOf(Known.ServiceName));
+}
+
+bool TargetTable::setAnsweredService(TargetIndex Index,
+                                     base::ServiceId Service) {
+  if (Targets[Index]->Service == Service)
+    return false;
+  setService(Index, Service);
+  return true;
 }
 
 void TargetTable::removeEntry(base::SocketAddress Agent, base::TimePoint Now) {
@@ -54,6 +83,7 @@
       Status.Sequence <= Known.Status.Sequence)
     return nullptr;
   Known.HasStatus = true;
+  Known.EntryDisputed = false;
   Known.LastStatusAt = Now;
   Known.StatusSinceSubscribed = Known.Subscribed;
   Known.Status = Status;
@@ -64,6 +94,10 @@
 }
 
 void TargetTable::expire(base::TimePoint Now) {
+  for (const auto &Known : Targets)
+    if (Known && Known->EntryDisputed &&
+        Now - Known->LastStatusAt > StatusStaleAfter)
+      adoptEntry(*Known);
   for (TargetIndex I = 0; I < Targets.size(); ++I)
     if (Targets[I] && !Targets[I]->Listed &&
         Now - std::max(Targets[I]->LastStatusAt, Targets[I]->RemovedAt) >
--- a/packages/flows/test/AgentTest.cpp
+++ b/packages/flows/test/AgentTest.cpp
@@ -1,6 +1,7 @@
 // Which packets an agent delivers to its target, and how it answers searches.
 #include "FlowFixture.h"
 
+#include <algorithm>
 #include <gtest/gtest.h>
 
 namespace burdockstream::flows::test {
@@ -155,6 +156,36 @@
   EXPECT_TRUE(agent().Target.ReturnedPackets.empty());
 }
 
+// Guards against the denial of a held flow because a balancer names the service
+// that its address had before: after a restart only the target knows its flows.
+TEST_F(AgentTest, DoesNotDenyAnUnknownFlowForTheNameOfAService) {
+  Sim.open(0, Simulation::flow(1));
+  Sim.send(0, Simulation::flow(1));
+  Sim.restartAgent(0);
+  Sim.sendHeartbeat(0);
+  Packet Value;
+  Value.Flow = Simulation::flow(1);
+  Value.DataBytes = 100;
+  FrameHeader Header;
+  Header.Service = base::serviceIdOf(Vault);
+  std::vector<FrameKind> Answers;
+  Sim.DropsFrame = [&](base::SocketAddress, FrameKind Kind) {
+    Answers.push_back(Kind);
+    return true;
+  };
+  const Packet Sent = Sim.Registry.write(Value);
+  agent().Core->onSearches(Sim.Balancers[1].Address, {&Sent, 1});
+  const size_t Before = agent().Target.Requests;
+  agent().Core->onFrame(Sim.Balancers[1].Address, Header,
+                        Sim.Registry.write(Value), Sim.Now);
+  Sim.run(Tick);
+  EXPECT_EQ(agent().Target.Requests, Before + 1);
+  EXPECT_EQ(std::count(Answers.begin(), Answers.end(), FrameKind::Undecided),
+            1);
+  EXPECT_EQ(std::count(Answers.begin(), Answers.end(), FrameKind::NotHeld), 0);
+  EXPECT_EQ(std::count(Answers.begin(), Answers.end(), FrameKind::Returned), 0);
+}
+
 // Guards against a request that is delayed by 1.5 s after a restart of all
 // balancers and agents: the search starts with a packet that the target does
 // not answer, and the request arrives while the search runs.
--- a/packages/flows/test/FlowFixture.cpp
+++ b/packages/flows/test/FlowFixture.cpp
@@ -244,6 +244,7 @@
   while (!Frames.empty()) {
     Frame Delivered = std::move(Frames.front());
     Frames.pop_front();
+    LastService = Delivered.Header.Service;
     if (DropsFrame && DropsFrame(Delivered.To, Delivered.Header.Kind))
       continue;
     for (SimulatedAgent &Place : Agents)
@@ -266,8 +267,7 @@
 
 void Simulation::deliverToAgent(SimulatedAgent &Place, Frame &Delivered) {
   if (Delivered.Header.Kind == FrameKind::Search)
-    return Place.Core->onSearches(Delivered.From, Delivered.Header,
-                                  headers(Delivered.Body));
+    return Place.Core->onSearches(Delivered.From, headers(Delivered.Body));
   if (Delivered.Header.Kind == FrameKind::Policy) {
     if (const auto Policy = unpackPolicy(Delivered.Body))
       Place.Core->onPolicy(Delivered.From, Delivered.Header.Routes, *Policy,
--- a/packages/flows/test/FlowFixture.h
+++ b/packages/flows/test/FlowFixture.h
@@ -124,6 +124,7 @@
   std::vector<base::SocketAddress> MissingEntryReports;
   // Returns whether a frame is lost; if empty, no frame is.
   std::function<bool(base::SocketAddress To, FrameKind)> DropsFrame;
+  base::ServiceId LastService; // in the frame that DropsFrame is called for
   // Handles BalancerHooks::CatchUp; if empty, the balancer is up to date at
   // once.
   std::function<void(size_t Balancer, ViewPart, base::TimePoint Since)> CatchUp;
--- a/packages/flows/test/OutdatedKnowledgeTest.cpp
+++ b/packages/flows/test/OutdatedKnowledgeTest.cpp
@@ -52,11 +52,13 @@
     }
   }
 
-  // The fabric gives each flow's next packets to all balancers in turn.
+  // The fabric gives each flow's next packets to all balancers in turn,
+  // starting with different ones.
   void sendThroughAll(base::SocketAddress Service = ShopAddress) {
     for (size_t Each = 0; Each < Sim.Balancers.size(); ++Each)
       for (uint16_t Port = 1; Port <= Flows; ++Port)
-        Sim.send(Each, Simulation::flow(Port, Service));
+        Sim.send((Each + Port) % Sim.Balancers.size(),
+                 Simulation::flow(Port, Service));
     Sim.run(milliseconds(400));
   }
 
@@ -76,5 +78,113 @@
   EXPECT_EQ(Sim.Resets.size(), 0U);
 }
 
+// The address of a Shop target goes to one of Vault, by which flows are opened.
+class ReusedAddressTest : public OutdatedKnowledgeTest {
+protected:
+  // Index of an agent in the last domain, to which the first balancers have no
+  // subscription.
+  static constexpr size_t Reused = 3 * AgentsPerDomain - 1;
+
+  void SetUp() override {
+    OutdatedKnowledgeTest::SetUp();
+    runWithHeartbeats(SubscribeAllPeriod + BalancerTimeout + seconds(1));
+    Sim.Agents[Reused].Running = false;
+    Sim.run(seconds(2));
+    SimulatedAgent &Place = Sim.Agents[Reused];
+    Place.Service = Vault;
+    Place.StartedAtMs += 100'000;
+    Place.HeartbeatsSent = 0;
+    Sim.restartAgent(Reused);
+    runWithHeartbeats(seconds(1));
+  }
+
+  void listEntry() {
+    for (SimulatedBalancer &Place : Sim.Balancers)
+      Place.Core->applyAgentEntry(
+          {Sim.Agents[Reused].Address, std::string(Vault), Domains.back()},
+          Sim.Now);
+    runWithHeartbeats(seconds(1));
+  }
+
+  base::ServiceId serviceAt(size_t Balancer) const {
+    const TargetTable &Known = Sim.Balancers[Balancer].Core->targets();
+    return Known.at(Known.indexOf(Sim.Agents[Reused].Address))->Service;
+  }
+};
+
+// Guards against the reset of flows whose agent has restarted and does not know
+// them, by a balancer that has a status from the address's former service.
+TEST_F(ReusedAddressTest, FlowsAreFoundAfterTheAgentHasRestarted) {
+  listEntry();
+  openFlows(lastBalancer(), VaultAddress);
+  Sim.restartAgent(Reused);
+  Sim.sendHeartbeats();
+  sendThroughAll(VaultAddress);
+  EXPECT_EQ(Sim.Resets.size(), 0U);
+}
+
+// The same without the new entry, as at a balancer that has not read it yet.
+TEST_F(ReusedAddressTest, FlowsAreFoundWithoutTheNewEntry) {
+  Sim.Balancers[lastBalancer()].Core->applyAgentEntry(
+      {Sim.Agents[Reused].Address, std::string(Vault), Domains.back()},
+      Sim.Now);
+  runWithHeartbeats(seconds(1));
+  openFlows(lastBalancer(), VaultAddress);
+  Sim.restartAgent(Reused);
+  Sim.sendHeartbeats();
+  sendThroughAll(VaultAddress);
+  EXPECT_EQ(Sim.Resets.size(), 0U);
+}
+
+// Guards against the service of an old status in place of that of a new entry.
+TEST_F(ReusedAddressTest, AnEntryReplacesAnOldStatus) {
+  listEntry();
+  for (size_t Each = 0; Each < Sim.Balancers.size(); ++Each)
+    EXPECT_EQ(serviceAt(Each), base::serviceIdOf(Vault)) << Each;
+}
+
+// Guards against an entry that is older than the agent's own statement: a new
+// agent sends statuses before a watch reports its entry.
+TEST_F(ReusedAddressTest, ARecentStatusReplacesAnEntry) {
+  listEntry();
+  FlowBalancer &Near = *Sim.Balancers[lastBalancer()].Core;
+  Near.applyAgentEntry(
+      {Sim.Agents[Reused].Address, std::string(Shop), Domains.back()}, Sim.Now);
+  EXPECT_EQ(serviceAt(lastBalancer()), base::serviceIdOf(Vault));
+  runWithHeartbeats(seconds(3));
+  EXPECT_EQ(serviceAt(lastBalancer()), base::serviceIdOf(Vault));
+}
+
+// Guards against a reset on the answer of a former build, whose agents deny
+// flows of another service even if they have restarted and do not know.
+TEST_F(OutdatedKnowledgeTest, ADenialThatNamesAnotherServiceIsNoProof) {
+  runWithHeartbeats(seconds(3));
+  const base::SocketAddress Agent = Sim.Agents[0].Address;
+  Sim.Agents[0].Running = false; // answered for by the test
+  std::vector<base::ServiceId> Asked;
+  Sim.DropsFrame = [&](base::SocketAddress To, FrameKind Kind) {
+    if (To == Agent && Kind == FrameKind::Search)
+      Asked.push_back(Sim.LastService);
+    return false;
+  };
+  const FlowKey Flow = Simulation::flow(1);
+  Sim.send(0, Flow);
+  ASSERT_EQ(Asked.size(), 1U);
+  FrameHeader Denial;
+  Denial.Kind = FrameKind::NotHeld;
+  Denial.Service = base::serviceIdOf(Vault);
+  Packet Value;
+  Value.Flow = Flow;
+  const Packet Header = Sim.Registry.write(Value);
+  Sim.Balancers[0].Core->onAgentAnswer(Agent, Denial, Header, Sim.Now);
+  Sim.run(milliseconds(200));
+  EXPECT_TRUE(Sim.Resets.empty());
+  ASSERT_GE(Asked.size(), 2U);
+  EXPECT_EQ(Asked.back(), Denial.Service);
+  Sim.Balancers[0].Core->onAgentAnswer(Agent, Denial, Header, Sim.Now);
+  Sim.run(milliseconds(100));
+  EXPECT_EQ(Sim.Resets.size(), 1U);
+}
+
 } // namespace
 } // namespace burdockstream::flows::test
