--- a/packages/base/include/burdockstream/base/StoreEra.h
+++ b/packages/base/include/burdockstream/base/StoreEra.h
@@ -21,11 +21,13 @@
 // Bits of an ordered revision that hold the revision within its era.
 inline constexpr int RevisionBits = 40;
 
+inline constexpr Revision MaxRevisionInEra = (Revision{1} << RevisionBits) - 1;
+
 inline constexpr Era MaxEra = (Era{1} << (62 - RevisionBits)) - 1;
 
 // Returns the ordered form of Given, which the store gave out in StoreEra. In
-// the first era both are the same, as in builds that do not know eras. Thread
-// safety: any thread.
+// the first era both are the same, as in builds that do not know eras.
+// Precondition: Given is from 0 to MaxRevisionInEra. Thread safety: any thread.
 constexpr Revision orderRevision(Era StoreEra, Revision Given) {
   return ((std::clamp(StoreEra, FirstEra, MaxEra) - FirstEra) << RevisionBits) +
          Given;
@@ -37,7 +39,7 @@
   return (Ordered >> RevisionBits) + FirstEra;
 }
 constexpr Revision givenRevision(Revision Ordered) {
-  return Ordered & ((Revision{1} << RevisionBits) - 1);
+  return Ordered & MaxRevisionInEra;
 }
 
 } // namespace burdockstream::base
--- a/packages/flowd/src/AgentEntries.cpp
+++ b/packages/flowd/src/AgentEntries.cpp
@@ -2,8 +2,27 @@
 
 #include "burdockstream/base/JsonText.h"
 
+#include <utility>
+
 namespace burdockstream::flowd {
 
+namespace {
+
+// Longest name of a service or failure domain in an entry, in bytes.
+constexpr size_t MaxNameBytes = 200;
+
+std::optional<std::string> parseName(const Json::Value &Root,
+                                     const char *Field) {
+  if (!Root.isObject() || !Root[Field].isString())
+    return std::nullopt;
+  std::string Name = Root[Field].asString();
+  if (Name.empty() || Name.size() > MaxNameBytes)
+    return std::nullopt;
+  return Name;
+}
+
+} // namespace
+
 std::string formatEntryKey(base::SocketAddress Agent) {
   return std::string(AgentKeyPrefix) + base::toString(Agent);
 }
@@ -22,7 +41,9 @@
     return std::nullopt;
   const auto Address =
       base::parseSocketAddress(Key.substr(AgentKeyPrefix.size()));
-  if (Address.has_error())
+  // An agent has one key only: with a second one, such as a port with a leading
+  // zero, the removal of either would remove the agent.
+  if (Address.has_error() || formatEntryKey(Address.value()) != Key)
     return std::nullopt;
   return Address.value();
 }
@@ -34,13 +55,14 @@
   if (Document.has_error())
     return Document.error();
   const Json::Value &Root = Document.value().root();
-  if (!Address || !Root.isObject() || !Root["service"].isString() ||
-      !Root["failure_domain"].isString())
+  auto Service = parseName(Root, "service");
+  auto FailureDomain = parseName(Root, "failure_domain");
+  if (!Address || !Service || !FailureDomain)
     return base::makeError(base::ErrorKind::Corrupt,
                            std::string(Key) +
                                " is not a valid agent entry; remove the key");
-  return flows::AgentEntry{*Address, Root["service"].asString(),
-                           Root["failure_domain"].asString(),
+  return flows::AgentEntry{*Address, std::move(*Service),
+                           std::move(*FailureDomain),
                            Root["ended"].isBool() && Root["ended"].asBool()};
 }
 
--- a/packages/flows/include/burdockstream/flows/FlowBalancer.h
+++ b/packages/flows/include/burdockstream/flows/FlowBalancer.h
@@ -128,6 +128,11 @@
 // wrong refusal, so that refusals under overload may share a store call.
 inline constexpr base::Duration RefusalViewAge = std::chrono::seconds(1);
 
+// A balancer keeps an idle flow for one to two idle timeouts, at most for this
+// long each, so that its memory is bounded whatever the configuration says. A
+// flow that it no longer knows is searched.
+inline constexpr base::Duration MaxFlowRetention = std::chrono::minutes(10);
+
 // Maximum number of targets that an opening packet is offered to.
 inline constexpr size_t MaxOffers = 4;
 
--- a/packages/flows/include/burdockstream/flows/RouteTable.h
+++ b/packages/flows/include/burdockstream/flows/RouteTable.h
@@ -25,6 +25,9 @@
 // Returns the name used in metrics and logs. Thread safety: any thread.
 std::string_view toString(WorkClass Class);
 
+// Upper limit of the times in a configuration; longer ones count as this long.
+inline constexpr base::Duration MaxConfiguredTime = std::chrono::hours(24);
+
 struct WeightedService {
   base::ServiceId Service;
   uint32_t Weight = 1;
--- a/packages/flows/src/FlowBalancer.cpp
+++ b/packages/flows/src/FlowBalancer.cpp
@@ -260,8 +260,8 @@
   sendHellos(Now);
   if (Now >= NextAging) {
     Flows.age([](const FlowKey &, const FlowEntry &) {});
-    NextAging =
-        Now + (Routes ? Routes->IdleTimeout : base::Duration(SearchTimeout));
+    NextAging = Now + (Routes ? std::min(Routes->IdleTimeout, MaxFlowRetention)
+                              : base::Duration(SearchTimeout));
   }
 }
 
--- a/testing/platform_standin/include/burdockstream/testing/PlatformStoreStandIn.h
+++ b/testing/platform_standin/include/burdockstream/testing/PlatformStoreStandIn.h
@@ -60,6 +60,9 @@
 
   void setFault(StoreFault Kind);
 
+  // Sends Body in place of the next answer to Path.
+  void answerNext(const std::string &Path, const std::string &Body);
+
   // Keeps the next answer with events to a watch of Prefix back until
   // sendHeldAnswers(); its connection stays open. Other calls are served.
   void holdNextWatchAnswer(const std::string &Prefix);
@@ -70,6 +73,8 @@
   }
   std::string value(const std::string &Key) const;
   uint64_t calls(const std::string &Path) const;
+  // Number of watch calls that named a revision which does not exist yet.
+  uint64_t watchesAhead() const { return WatchesAhead; }
 
 private:
   struct Item {
@@ -136,10 +141,12 @@
   std::vector<OperatorChange> OperatorChanges;
   std::vector<Watcher> Watchers;
   std::vector<std::shared_ptr<http::Responder>> Unanswered;
-  std::optional<std::string> HeldPrefix; // see holdNextWatchAnswer()
+  std::map<std::string, std::string> NextAnswers; // by path
+  std::optional<std::string> HeldPrefix;          // see holdNextWatchAnswer()
   std::vector<std::pair<std::shared_ptr<http::Responder>, http::ServerAnswer>>
       HeldAnswers;
   std::map<std::string, uint64_t> Calls;
+  uint64_t WatchesAhead = 0;
   StoreFault Fault = StoreFault::None;
   guint Timer = 0;
 };
--- a/testing/platform_standin/src/PlatformStoreStandIn.cpp
+++ b/testing/platform_standin/src/PlatformStoreStandIn.cpp
@@ -145,6 +145,11 @@
       Waiting->abort();
 }
 
+void PlatformStoreStandIn::answerNext(const std::string &Path,
+                                      const std::string &Body) {
+  NextAnswers[Path] = Body;
+}
+
 void PlatformStoreStandIn::holdNextWatchAnswer(const std::string &Prefix) {
   HeldPrefix = Prefix;
 }
@@ -201,6 +206,8 @@
   ++Calls[Request.Path];
   if (fails(Request, Out))
     return;
+  if (const auto Next = NextAnswers.extract(Request.Path); !Next.empty())
+    return reply(Out, {200, "application/json", Next.mapped()});
   const int64_t Keep = idAfter(Request.Path, "/api/kv-keep/");
   const int64_t End = idAfter(Request.Path, "/api/kv-lease-end/");
   if (Request.Path == "/api/kv-key")
@@ -216,11 +223,13 @@
     reply(Out, closing(keep(Keep)));
   else if (End >= 0)
     reply(Out, end(End));
-  else if (Request.Path == "/api/kv-watch")
+  else if (Request.Path == "/api/kv-watch") {
+    WatchesAhead +=
+        number(parameter(Request, "after")) > Current.Revision ? 1 : 0;
     Watchers.push_back(
         {parameter(Request, "prefix"), number(parameter(Request, "after")),
          nowMs() + number(parameter(Request, "wait_timeout_ms")), Out});
-  else
+  } else
     reply(Out, empty(400));
   serveWatches();
 }
