Conclude nothing about a target's run from outdated or odd heartbeats

Cause, the same for all: of two statements about the target's run an agent took the one with the higher figure, or the later arrival, for the newer one. - A ping with a sequence that is too large made all further ones of the run late for good; one with a later born reset all flows of the run that it seemed to replace and made its pings late for good; one with the same born and another id reset them too. - A late ping of an earlier run, the first one that a restarted agent got, made the run that is alive look new: the agent claimed to know all flows and denied those that it had no record of. - A refused health check whose result arrived after a heartbeat reset all flows of the run that had just started. - A deregistration whose born cannot be read ended the current run.

What remains: a ping or a deregistration of another writer that is valid in every field and names the run that is alive cannot be told from the target's own.

--- a/packages/flowd/include/burdockstream/flowd/FlowSettings.h
+++ b/packages/flowd/include/burdockstream/flowd/FlowSettings.h
@@ -6,6 +6,7 @@
 #include "burdockstream/base/SocketAddress.h"
 #include "burdockstream/base/Time.h"
 
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -14,6 +15,9 @@
 
 namespace burdockstream::flowd {
 
+// Longest name of a process, service or failure domain, in bytes.
+inline constexpr size_t MaxNameBytes = 200;
+
 enum class FlowRole : uint8_t { Balancer, Agent };
 
 // Settings that only an agent has.
--- a/packages/flowd/src/AgentDaemon.cpp
+++ b/packages/flowd/src/AgentDaemon.cpp
@@ -80,6 +80,7 @@
   Options.HeartbeatOverdue = std::min<base::Duration>(
       Agent.HeartbeatInterval * 3 / 2,
       Agent.AddressReuseDelay - std::chrono::milliseconds(200));
+  Options.HeartbeatInterval = Agent.HeartbeatInterval;
   Options.PacketHeaderBytes = Environment.Codec.HeaderBytes;
   return Options;
 }
@@ -237,7 +238,10 @@
 
 unsigned AgentDaemon::onTargetRequest(const TargetRequest &Request) {
   const base::Now Now = readClocks();
-  const flows::Heartbeat &Heartbeat = Request.Heartbeat;
+  flows::Heartbeat Heartbeat = Request.Heartbeat;
+  Heartbeat.StartsInFuture =
+      Heartbeat.StartedAtMs - base::toMilliseconds(flows::MaxClockDifference) >
+      Now.Wall.Milliseconds;
   Json::Value Fields;
   Fields["target_id"] = Heartbeat.TargetId;
   Fields["started_at_ms"] = Json::Int64(Heartbeat.StartedAtMs);
@@ -270,21 +274,20 @@
       {},
       ProbeTimeout,
       "GET"};
-  Client.send(Request,
-              [this](const base::Result<http::HttpResponse> &Response) {
-                auto Result = flows::ProbeResult::NoAnswer;
-                if (Response.has_value())
-                  Result = Response.value().Status == 200
-                               ? flows::ProbeResult::Healthy
-                               : flows::ProbeResult::Unwilling;
-                else if (Response.error().Kind == base::ErrorKind::Unavailable)
-                  Result = flows::ProbeResult::NoProcess;
-                const base::Now Now = readClocks();
-                Json::Value Fields;
-                Fields["result"] = std::string(toString(Result));
-                Log.write(LogPriority::Process, "target_probed", Fields, Now);
-                Core.onProbe(Result, Now.Monotonic);
-              });
+  Client.send(Request, [this, StartedAt = readClocks().Monotonic](
+                           const base::Result<http::HttpResponse> &Response) {
+    auto Result = flows::ProbeResult::NoAnswer;
+    if (Response.has_value())
+      Result = Response.value().Status == 200 ? flows::ProbeResult::Healthy
+                                              : flows::ProbeResult::Unwilling;
+    else if (Response.error().Kind == base::ErrorKind::Unavailable)
+      Result = flows::ProbeResult::NoProcess;
+    const base::Now Now = readClocks();
+    Json::Value Fields;
+    Fields["result"] = std::string(toString(Result));
+    Log.write(LogPriority::Process, "target_probed", Fields, Now);
+    Core.onProbe(Result, StartedAt, Now.Monotonic);
+  });
 }
 
 void AgentDaemon::logTargetState(flows::TargetState From, flows::TargetState To,
--- a/packages/flowd/src/AgentEntries.cpp
+++ b/packages/flowd/src/AgentEntries.cpp
@@ -1,6 +1,7 @@
 #include "burdockstream/flowd/AgentEntries.h"
 
 #include "burdockstream/base/JsonText.h"
+#include "burdockstream/flowd/FlowSettings.h"
 
 #include <utility>
 
@@ -8,9 +9,6 @@
 
 namespace {
 
-// Longest name of a service or failure domain in an entry, in bytes.
-constexpr size_t MaxNameBytes = 200;
-
 std::optional<std::string> parseName(const Json::Value &Root,
                                      const char *Field) {
   if (!Root.isObject() || !Root[Field].isString())
--- a/packages/flowd/src/FlowSettings.cpp
+++ b/packages/flowd/src/FlowSettings.cpp
@@ -15,7 +15,6 @@
 }});
 
 constexpr size_t MaxPeers = 64;
-constexpr size_t MaxNameBytes = 200;
 constexpr base::IntegerRange IntervalRange{50, 60'000}; // milliseconds
 constexpr base::IntegerRange DelayRange{1, 3'600};      // seconds
 constexpr base::IntegerRange LinkRange{1, 1'000'000};   // Mbit/s
--- a/packages/flows/include/burdockstream/flows/FlowAgent.h
+++ b/packages/flows/include/burdockstream/flows/FlowAgent.h
@@ -22,6 +22,7 @@
 #include "burdockstream/flows/WarmupLimit.h"
 
 #include <functional>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -91,6 +92,8 @@
   // shorter than the time after which an address may be reassigned to another
   // service.
   base::Duration HeartbeatOverdue = std::chrono::milliseconds(1800);
+  // The target sends a heartbeat about this often.
+  base::Duration HeartbeatInterval = std::chrono::milliseconds(1200);
   size_t PacketHeaderBytes = 0; // see PacketCodec::HeaderBytes
 };
 
@@ -149,7 +152,8 @@
 class FlowAgent {
 public:
   FlowAgent(AgentOptions InitOptions, AgentHooks InitHooks)
-      : Options(std::move(InitOptions)), Hooks(std::move(InitHooks)) {}
+      : Options(std::move(InitOptions)), Hooks(std::move(InitHooks)),
+        Heartbeats(Options.HeartbeatOverdue) {}
 
   // Starts the first health check of the target.
   void start(base::TimePoint Now);
@@ -184,8 +188,9 @@
   // unknown) announces its end. Returns false if that is not the current run.
   bool onDeregister(const std::string &TargetId, int64_t StartedAtMs,
                     base::TimePoint Now);
-  // Handles the result of a health check.
-  void onProbe(ProbeResult Result, base::TimePoint Now);
+  // Handles the result of a health check that was started at StartedAt.
+  void onProbe(ProbeResult Result, base::TimePoint StartedAt,
+               base::TimePoint Now);
 
   // Announces the agent's shutdown to balancers; no new flows are delivered.
   void startLeaving(base::TimePoint Now);
@@ -289,6 +294,7 @@
   void stopCounting(FlowRecord &Record);
   void forget(const FlowKey &Flow);
   void resetAllFlows(base::TimePoint Now);
+  bool hasObservedStart(const Heartbeat &Beat, base::TimePoint Now) const;
   void apply(internal::TargetEvent Event, std::string_view Cause,
              base::TimePoint Now);
   TargetStatus status(base::TimePoint Now);
@@ -306,6 +312,8 @@
   // The agent has observed the whole run of the target, so a flow without a
   // record is not held.
   bool KnowsAllFlows = false;
+  // Start of this process or replacement of the target.
+  std::optional<base::TimePoint> ObservedSince;
   uint32_t Slots = 1;
   base::TimePoint LastHeartbeat{};
   base::TimePoint WarmupEnd{};
--- a/packages/flows/src/AgentStatus.cpp
+++ b/packages/flows/src/AgentStatus.cpp
@@ -32,26 +32,44 @@
 HeartbeatVerdict FlowAgent::onHeartbeat(const Heartbeat &Beat,
                                         base::TimePoint Now) {
   const bool First = !Heartbeats.known();
-  const HeartbeatVerdict Verdict = Heartbeats.classify(Beat, Options.Target);
+  const HeartbeatVerdict Verdict =
+      Heartbeats.classify(Beat, Options.Target, Now);
   if (Verdict == HeartbeatVerdict::Late || Verdict == HeartbeatVerdict::Foreign)
     return Verdict;
+  const bool Observed = hasObservedStart(Beat, Now);
   if (Verdict == HeartbeatVerdict::NewRun && !First) {
-    resetAllFlows(Now); // the flows of the earlier run no longer exist
-    KnowsAllFlows = true;
+    // If the run is older than this process, the recorded flows are its own,
+    // and the earlier run is that of a delayed heartbeat.
+    if (Observed)
+      resetAllFlows(Now); // the flows of the earlier run no longer exist
+    KnowsAllFlows = Observed;
     apply(TargetEvent::Replace, "new_run", Now);
   }
+  if (Verdict == HeartbeatVerdict::Resumed)
+    KnowsAllFlows = false;
   // No earlier agent process can have opened flows at a target that has just
   // sent its first heartbeat.
   if (Beat.Sequence <= FirstHeartbeatSequence)
     KnowsAllFlows = true;
   LastHeartbeat = Now;
-  Slots = std::max(Beat.Slots, 1U);
+  Slots = std::clamp(Beat.Slots, 1U, MaxSlots);
   WarmupEnd = Now + std::chrono::milliseconds(Beat.WarmupMs);
   apply(Beat.Draining ? TargetEvent::Drain : TargetEvent::Ready, "heartbeat",
         Now);
   return Verdict;
 }
 
+// Returns whether the target's run has started since this process observes the
+// target: by the number of heartbeats, since clocks may be stepped.
+bool FlowAgent::hasObservedStart(const Heartbeat &Beat,
+                                 base::TimePoint Now) const {
+  if (Beat.Sequence <= FirstHeartbeatSequence)
+    return true;
+  const base::Duration Observed = Now - ObservedSince.value_or(Now);
+  const base::Duration LongestInterval = Options.HeartbeatInterval * 3 / 2;
+  return Beat.Sequence <= static_cast<uint64_t>(Observed / LongestInterval);
+}
+
 bool FlowAgent::onDeregister(const std::string &TargetId, int64_t StartedAtMs,
                              base::TimePoint Now) {
   if (!Heartbeats.end(TargetId, StartedAtMs))
@@ -61,8 +79,10 @@
   return true;
 }
 
-void FlowAgent::onProbe(ProbeResult Result, base::TimePoint Now) {
-  if (Result == ProbeResult::NoProcess) {
+void FlowAgent::onProbe(ProbeResult Result, base::TimePoint StartedAt,
+                        base::TimePoint Now) {
+  // A heartbeat since then shows that the target has started after the check.
+  if (Result == ProbeResult::NoProcess && LastHeartbeat <= StartedAt) {
     resetAllFlows(Now);
     // A process that listens there later starts without flows.
     KnowsAllFlows = true;
--- a/packages/flows/src/FlowAgent.cpp
+++ b/packages/flows/src/FlowAgent.cpp
@@ -29,14 +29,16 @@
 } // namespace
 
 void FlowAgent::start(base::TimePoint Now) {
+  ObservedSince = ObservedSince.value_or(Now);
   NextProbe = Now + ProbeInterval;
   Hooks.ProbeTarget();
 }
 
 void FlowAgent::setTarget(const TargetIdentity &Target, base::TimePoint Now) {
   Options.Target = Target;
-  Heartbeats = HeartbeatFilter();
+  Heartbeats = HeartbeatFilter(Options.HeartbeatOverdue);
   KnowsAllFlows = false;
+  ObservedSince = Now;
   ServiceTime.clear();
   Ejection.clear();
   apply(TargetEvent::Replace, "settings", Now);
--- a/packages/flows/src/Heartbeat.cpp
+++ b/packages/flows/src/Heartbeat.cpp
@@ -6,13 +6,18 @@
 
 namespace {
 
-constexpr base::NameTable<HeartbeatVerdict, 4> VerdictNames({{
+constexpr base::NameTable<HeartbeatVerdict, 5> VerdictNames({{
     {HeartbeatVerdict::Accepted, "accepted"},
     {HeartbeatVerdict::NewRun, "new_run"},
+    {HeartbeatVerdict::Resumed, "resumed"},
     {HeartbeatVerdict::Late, "late"},
     {HeartbeatVerdict::Foreign, "foreign"},
 }});
 
+bool isOfSameRun(const Heartbeat &One, const Heartbeat &Other) {
+  return One.StartedAtMs == Other.StartedAtMs && One.TargetId == Other.TargetId;
+}
+
 } // namespace
 
 std::string_view toString(HeartbeatVerdict Verdict) {
@@ -20,19 +25,42 @@
 }
 
 HeartbeatVerdict HeartbeatFilter::classify(const Heartbeat &Beat,
-                                           const TargetIdentity &Own) {
+                                           const TargetIdentity &Own,
+                                           base::TimePoint Now) {
   if (Beat.Service != Own.Service || Beat.Address != Own.Address)
     return HeartbeatVerdict::Foreign;
-  if (Known && Beat.StartedAtMs < Last.StartedAtMs)
-    return HeartbeatVerdict::Late;
-  const bool SameRun = Known && Beat.StartedAtMs == Last.StartedAtMs &&
-                       Beat.TargetId == Last.TargetId;
-  if (SameRun && (Ended || Beat.Sequence <= Last.Sequence))
+  HeartbeatVerdict Verdict = HeartbeatVerdict::Resumed;
+  if (outranksLast(Beat, Now))
+    Verdict = Known && isOfSameRun(Beat, Last) ? HeartbeatVerdict::Accepted
+                                               : HeartbeatVerdict::NewRun;
+  else if (!takesOver(Beat, Now))
     return HeartbeatVerdict::Late;
   Known = true;
   Ended = false;
   Last = Beat;
-  return SameRun ? HeartbeatVerdict::Accepted : HeartbeatVerdict::NewRun;
+  LastAt = Now;
+  Rejected.reset();
+  return Verdict;
+}
+
+bool HeartbeatFilter::outranksLast(const Heartbeat &Beat,
+                                   base::TimePoint Now) const {
+  if (!Known)
+    return true;
+  if (isOfSameRun(Beat, Last))
+    return !Ended && Beat.Sequence > Last.Sequence;
+  const bool LastAlive = !Ended && Now - LastAt < Overdue;
+  return Beat.StartedAtMs > Last.StartedAtMs &&
+         !(Beat.StartsInFuture && LastAlive);
+}
+
+bool HeartbeatFilter::takesOver(const Heartbeat &Beat, base::TimePoint Now) {
+  const bool Continues = Rejected && isOfSameRun(Beat, *Rejected) &&
+                         Beat.Sequence > Rejected->Sequence;
+  if (!Continues)
+    RejectedSince = Now;
+  Rejected = Beat;
+  return Now - RejectedSince >= Overdue && Now - LastAt >= Overdue;
 }
 
 bool HeartbeatFilter::end(const std::string &TargetId, int64_t StartedAtMs) {
--- a/packages/flows/test/AgentTest.cpp
+++ b/packages/flows/test/AgentTest.cpp
@@ -82,10 +82,10 @@
   Sim.restartAgent(0);
   forwardOpening(1, Shop, 10);
   EXPECT_TRUE(agent().Target.Opened.empty());
-  agent().Core->onProbe(ProbeResult::Unwilling, Sim.Now);
+  agent().Core->onProbe(ProbeResult::Unwilling, Sim.Now, Sim.Now);
   forwardOpening(2, Shop, 10);
   EXPECT_TRUE(agent().Target.Opened.empty());
-  agent().Core->onProbe(ProbeResult::Healthy, Sim.Now);
+  agent().Core->onProbe(ProbeResult::Healthy, Sim.Now, Sim.Now);
   forwardOpening(3, Shop, 10);
   EXPECT_EQ(agent().Target.Opened.size(), 1U);
 }
--- a/packages/flows/test/BalancerTest.cpp
+++ b/packages/flows/test/BalancerTest.cpp
@@ -155,7 +155,7 @@
 // is always one during a release. The agent is asked, since its target may have
 // started after its last status, and answers at once or is gone.
 TEST_F(BalancerTest, HardlyWaitsForTargetsThatHaveEnded) {
-  Sim.Agents[0].Core->onProbe(ProbeResult::NoProcess, Sim.Now);
+  Sim.Agents[0].Core->onProbe(ProbeResult::NoProcess, Sim.Now, Sim.Now);
   Sim.run(milliseconds(100));
   Sim.send(0, Simulation::flow(40000));
   EXPECT_EQ(Sim.Resets.size(), 1U);
--- a/packages/flows/test/MovedRouteTest.cpp
+++ b/packages/flows/test/MovedRouteTest.cpp
@@ -179,7 +179,7 @@
   sendRouteTo(Vault);
   restartBalancers();
   settle();
-  Sim.Agents[Holder].Core->onProbe(ProbeResult::NoProcess, Sim.Now);
+  Sim.Agents[Holder].Core->onProbe(ProbeResult::NoProcess, Sim.Now, Sim.Now);
   Sim.Agents[Holder].Target.Held.clear();
   Sim.Resets.clear(); // the agent has reset the flows that it knew
   Sim.run(milliseconds(100));
--- a/packages/flows/test/OutdatedKnowledgeTest.cpp
+++ b/packages/flows/test/OutdatedKnowledgeTest.cpp
@@ -69,7 +69,7 @@
 // balancer last had a status of its agent.
 TEST_F(OutdatedKnowledgeTest, ATargetThatHasStartedSinceItsLastStatusIsAsked) {
   for (SimulatedAgent &Place : Sim.Agents)
-    Place.Core->onProbe(ProbeResult::NoProcess, Sim.Now);
+    Place.Core->onProbe(ProbeResult::NoProcess, Sim.Now, Sim.Now);
   // The subscriptions of the start end, and agents send the last statuses.
   Sim.run(SubscribeAllPeriod + BalancerTimeout + seconds(1));
   runWithHeartbeats(seconds(2));
