--- a/packages/flows/include/burdockstream/flows/FlowAgent.h
+++ b/packages/flows/include/burdockstream/flows/FlowAgent.h
@@ -100,6 +100,15 @@
 // A balancer without a hello for this long gets no more statuses.
 inline constexpr base::Duration BalancerTimeout = std::chrono::seconds(3);
 
+// A balancer whose subscription ended while the target was stopped gets
+// statuses for this long after the target has started: several, since one may
+// be lost. Balancers of former builds take the last status for current, however
+// old.
+inline constexpr base::Duration StartReportPeriod = std::chrono::seconds(1);
+
+// Largest number of such balancers.
+inline constexpr size_t MaxLeftWhileStopped = 4096;
+
 // Minimum interval between statuses to balancers of the same failure domain,
 // which place most flows here, after a change of the load; and the regular
 // interval of statuses to all balancers, which is longer because traffic
@@ -299,6 +308,8 @@
              base::TimePoint Now);
   TargetStatus status(base::TimePoint Now);
   void sendStatuses(base::TimePoint Now, Audience To);
+  void expireSubscriptions(base::TimePoint Now);
+  void resumeSubscriptions(base::TimePoint Now);
   uint16_t balancerIndex(base::SocketAddress Address);
   void reportDecision(DecisionKind Kind, ReturnReason Reason,
                       const FlowKey &Flow, base::SocketAddress From,
@@ -338,6 +349,8 @@
   base::Duration MeanHandshake = InitialHandshake;
 
   std::vector<Balancer> Balancers; // receivers of statuses
+  // Balancers whose subscription has ended while the target was stopped.
+  std::vector<Balancer> LeftWhileStopped;
   // All balancers that a packet came from, by the index in a tag; only grows.
   std::vector<base::SocketAddress> Senders;
   base::Revision NewestRoutes = 0;
--- a/packages/flows/src/AgentStatus.cpp
+++ b/packages/flows/src/AgentStatus.cpp
@@ -106,6 +106,8 @@
   if (!Next || *Next == State)
     return;
   const TargetState Before = std::exchange(State, *Next);
+  if (Before == TargetState::Stopped)
+    resumeSubscriptions(Now);
   if (State != TargetState::Ready)
     returnHeld(Held.takeAll(), ReturnReason::NotReady, Now);
   if (Hooks.OnState)
@@ -121,9 +123,7 @@
                           (State == TargetState::Draining && Overdue);
   if (NeedsProbe && Now >= NextProbe)
     start(Now);
-  std::erase_if(Balancers, [&](const Balancer &Each) {
-    return Now - Each.LastHello > BalancerTimeout;
-  });
+  expireSubscriptions(Now);
   expireOpenings(Now);
   expireWaiting(Now);
   admitHeld(Now);
@@ -146,6 +146,30 @@
   }
 }
 
+void FlowAgent::expireSubscriptions(base::TimePoint Now) {
+  std::erase_if(Balancers, [&](const Balancer &Each) {
+    if (Now - Each.LastHello <= BalancerTimeout)
+      return false;
+    if (State == TargetState::Stopped &&
+        LeftWhileStopped.size() < MaxLeftWhileStopped)
+      LeftWhileStopped.push_back(Each);
+    return true;
+  });
+}
+
+void FlowAgent::resumeSubscriptions(base::TimePoint Now) {
+  for (Balancer &Each : LeftWhileStopped) {
+    const bool Subscribed =
+        std::any_of(Balancers.begin(), Balancers.end(), [&](const auto &Other) {
+          return Other.Address == Each.Address;
+        });
+    Each.LastHello = Now - BalancerTimeout + StartReportPeriod;
+    if (!Subscribed)
+      Balancers.push_back(Each);
+  }
+  LeftWhileStopped.clear();
+}
+
 void FlowAgent::onHello(base::SocketAddress From, base::Revision Routes,
                         const Hello &Hello, base::TimePoint Now) {
   if (Hello.EntryMissing && Hooks.OnEntryMissing)
--- a/packages/flows/src/FlowSearch.cpp
+++ b/packages/flows/src/FlowSearch.cpp
@@ -286,7 +286,7 @@
     park(Done.Buffered.back().packet(), ParkReason::SettledAgentList);
   }
   reportDecision(Settled ? DecisionKind::ResetUnheld : DecisionKind::Unsettled,
-                 Flow, NoTarget, 0, Now);
+                 Flow, NoTarget, Done.Queried.size(), Now);
   Flows.erase(Flow);
 }
 
--- a/packages/flows/test/OutdatedKnowledgeTest.cpp
+++ b/packages/flows/test/OutdatedKnowledgeTest.cpp
@@ -78,6 +78,22 @@
   EXPECT_EQ(Sim.Resets.size(), 0U);
 }
 
+// Guards against resets by balancers of former builds, which take the status of
+// a stopped target for current after their subscription has ended.
+TEST_F(OutdatedKnowledgeTest, AStartOfTheTargetIsReportedToFormerSubscribers) {
+  for (SimulatedAgent &Place : Sim.Agents)
+    Place.Core->onProbe(ProbeResult::NoProcess, Sim.Now, Sim.Now);
+  Sim.run(SubscribeAllPeriod + BalancerTimeout + seconds(1));
+  runWithHeartbeats(seconds(1));
+  for (const SimulatedBalancer &Place : Sim.Balancers)
+    for (const auto &Each : Place.Core->targets().all())
+      EXPECT_EQ(Each->Status.State, TargetState::Ready);
+  // Agents send nothing to these balancers for good.
+  Sim.run(BalancerTimeout);
+  for (const SimulatedAgent &Place : Sim.Agents)
+    EXPECT_LT(Place.Core->balancers(), Sim.Balancers.size());
+}
+
 // The address of a Shop target goes to one of Vault, by which flows are opened.
 class ReusedAddressTest : public OutdatedKnowledgeTest {
 protected:
