--- a/packages/flowd/src/BalancerDaemon.cpp
+++ b/packages/flowd/src/BalancerDaemon.cpp
@@ -81,7 +81,10 @@
   Hooks.CatchUp = [this](flows::ViewPart Part, base::TimePoint Since) {
     WatchedPrefix &Watched =
         Part == flows::ViewPart::Routes ? *Routes : *Agents;
-    Watched.catchUp([this, Part, Since] { Core.markCaughtUp(Part, Since); });
+    Watched.catchUp([this, Part, Since] {
+      Core.markCaughtUp(Part, Since);
+      tick(); // packets and searches wait for it
+    });
   };
   Hooks.OnNewerRoutes = [this](base::Revision Revision,
                                base::SocketAddress Control) {
