Ignore the last statuses of an agent whose entry has ended

Cause: an agent that leaves with its target sends statuses until its process ends, some of them after the balancers have read that its entry has ended and dropped it.

Change: a status that says that the target has ended does not add an unknown agent. One that says anything else does.

Result: LateStatusesOfAnAgentThatHasEndedAreIgnored fails before; test_flows 159 of 159.

--- a/packages/flows/include/burdockstream/flows/TargetTable.h
+++ b/packages/flows/include/burdockstream/flows/TargetTable.h
@@ -105,7 +105,8 @@
   bool setAnsweredService(TargetIndex Index, base::ServiceId Service);
 
   // Applies a status. Returns its target, or null if the status is a duplicate
-  // or older than the last one of the same incarnation.
+  // or older than the last one of the same incarnation, or if the agent is
+  // unknown and its target has ended.
   Target *update(base::SocketAddress Agent, const TargetStatus &Status,
                  base::TimePoint Now);
 
--- a/packages/flows/src/TargetTable.cpp
+++ b/packages/flows/src/TargetTable.cpp
@@ -78,6 +78,9 @@
 
 Target *TargetTable::update(base::SocketAddress Agent,
                             const TargetStatus &Status, base::TimePoint Now) {
+  // The last statuses of an agent may arrive after its entry has ended.
+  if (indexOf(Agent) == NoTarget && Status.State == TargetState::Stopped)
+    return nullptr;
   Target &Known = add(Agent, Now);
   if (Known.HasStatus && Known.Status.Incarnation == Status.Incarnation &&
       Status.Sequence <= Known.Status.Sequence)
--- a/packages/flows/test/LargeFleetTest.cpp
+++ b/packages/flows/test/LargeFleetTest.cpp
@@ -233,6 +233,25 @@
   EXPECT_EQ(Sim.Resets.size(), 1U);
 }
 
+// Guards against searches that wait for an agent that has left because its last
+// statuses arrive after its entry says so, as at each end of a target.
+TEST_F(LargeFleetTest, LateStatusesOfAnAgentThatHasEndedAreIgnored) {
+  build(10, 109, 27);
+  const size_t Gone = 0; // in the failure domain of balancer 0
+  Sim.Agents[Gone].Core->onProbe(ProbeResult::NoProcess, Sim.Now, Sim.Now);
+  Sim.run(milliseconds(100));
+  for (SimulatedBalancer &Place : Sim.Balancers)
+    Place.Core->applyAgentEntry(
+        {Sim.Agents[Gone].Address, std::string(Shop), "a", true}, Sim.Now);
+  Sim.run(milliseconds(400));
+  Sim.Agents[Gone].Running = false;
+  for (size_t I = 1; I < Sim.Agents.size(); ++I)
+    Sim.sendHeartbeat(I);
+  Sim.send(0, Simulation::flow(40001));
+  Sim.run(milliseconds(200));
+  EXPECT_EQ(Sim.Resets.size(), 1U);
+}
+
 // Load pattern: all balancers and agents are killed while targets hold flows.
 // Only the targets know the flows, so each needs trial deliveries to several
 // targets. Guards against bursts that overflow the socket queue of a small VM.
