--- a/packages/flows/include/burdockstream/flows/FlowBalancer.h
+++ b/packages/flows/include/burdockstream/flows/FlowBalancer.h
@@ -117,9 +117,9 @@
 // cost a store call each: proportional to the number of agents, as a measure of
 // the number of balancers that share the store's rate limit.
 inline constexpr base::Duration CatchUpIntervalPerAgent =
-    std::chrono::microseconds(500);
+    std::chrono::milliseconds(1);
 inline constexpr base::Duration MinCatchUpInterval =
-    std::chrono::milliseconds(50);
+    std::chrono::milliseconds(100);
 inline constexpr base::Duration MaxCatchUpInterval =
     std::chrono::milliseconds(500);
 
