Treat a flow at a reused port as a new one in the load of a target

What was seen: nothing by callers yet; found by reading the counters that statuses report. A client opens a flow at a port whose former flow the target has closed. The record of the former flow stayed for up to 60 s, so the new flow did not count as opening, and its request counted as waiting only if its sequence number happened to be above that of the former flow. Balancers saw a target with less work than it had. A held opening also skipped the admission, as a further copy of a delivered one.

Ruled out: the record's age. It is renewed by every packet of the flow.

Change: an opening packet that is delivered for a closed flow starts a new record, and passes the admission like that of any new flow.

Evidence: LoadCountersTest.AReusedPortIsANewFlow fails before (0 waiting requests in place of 1), passes after.

--- a/packages/flows/src/AgentOpenings.cpp
+++ b/packages/flows/src/AgentOpenings.cpp
@@ -32,8 +32,10 @@
   if (Reason != ReturnReason::None)
     return returnOpening(From, Header, Packet, Reason, Now);
   // A further copy of a delivered opening packet must not wait behind others.
+  const FlowRecord *Known = Flows.use(Packet.Flow);
+  const bool IsCopy = Known && !Known->Closing;
   const auto Urgency = urgencyOf(load(), Header.Time);
-  if ((admits(load(), Urgency) && warmupAdmits(Now)) || Flows.use(Packet.Flow))
+  if ((admits(load(), Urgency) && warmupAdmits(Now)) || IsCopy)
     return deliverOpening(From, Header, Packet, Now);
   Held.hold(From, Header, Packet, Now);
   reportDecision(DecisionKind::HeldBack, Reason, Packet.Flow, From, Header,
@@ -55,6 +57,10 @@
 void FlowAgent::deliverOpening(base::SocketAddress From,
                                const FrameHeader &Header, const Packet &Packet,
                                base::TimePoint Now) {
+  // The client has reused the port of a closed flow, whose sequence numbers and
+  // counters do not apply to the new one.
+  if (const FlowRecord *Old = Flows.use(Packet.Flow); Old && Old->Closing)
+    forget(Packet.Flow);
   if (Now < WarmupEnd && !Flows.use(Packet.Flow))
     Warmup.record(Now);
   FlowRecord &Record = Flows.insert(Packet.Flow);
--- /dev/null
+++ b/packages/flows/test/LoadCountersTest.cpp
@@ -0,0 +1,138 @@
+// The counters that an agent reports as load, for any order of packets.
+#include "burdockstream/flows/FlowAgent.h"
+
+#include <gtest/gtest.h>
+
+namespace burdockstream::flows::test {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr base::SocketAddress BalancerAddress{0x0A020000, 7000};
+constexpr base::SocketAddress ServiceAddress{0xC6120001, 8443};
+constexpr std::string_view Service = "shopdesk";
+
+// An agent whose frames are recorded, and the packets of its clients and of its
+// target, which the test sends in any order.
+class LoadCountersTest : public ::testing::Test {
+protected:
+  void SetUp() override {
+    AgentHooks Hooks;
+    Hooks.DeliverToTarget = [](std::span<const uint8_t>) {};
+    Hooks.SendToClient = [](const FlowKey &, std::span<const uint8_t>) {};
+    Hooks.SendReset = [](const FlowKey &, uint32_t) {};
+    Hooks.Stamp = [this](std::span<const uint8_t>, uint32_t Tag) {
+      LastTag = Tag;
+    };
+    Hooks.ProbeTarget = [] {};
+    Hooks.SendFrame = [this](base::SocketAddress, const FrameHeader &Header,
+                             std::span<const uint8_t> Body) {
+      if (Header.Kind == FrameKind::Status)
+        Reported = unpackStatus(Body).value_or(TargetStatus());
+    };
+    AgentOptions Options;
+    Options.Target = {std::string(Service), {0x0A010000, 8080}};
+    Agent = std::make_unique<FlowAgent>(Options, Hooks);
+    Agent->start(Now);
+    Agent->onHello(BalancerAddress, 10, {}, Now);
+    advance(milliseconds(0));
+  }
+
+  static FlowKey flow(uint16_t Port) {
+    return {{0x64400007, Port}, ServiceAddress};
+  }
+
+  void sendHeartbeat() {
+    Heartbeat Beat;
+    Beat.TargetId = "i-0";
+    Beat.Service = std::string(Service);
+    Beat.Address = {0x0A010000, 8080};
+    Beat.StartedAtMs = 1000;
+    Beat.Sequence = ++Heartbeats;
+    Beat.Slots = 2;
+    Agent->onHeartbeat(Beat, Now);
+  }
+
+  // Advances the time in ticks, with a heartbeat in each.
+  void advance(base::Duration Time) {
+    const base::TimePoint End = Now + Time;
+    do {
+      Now = std::min(End, Now + milliseconds(50));
+      sendHeartbeat();
+      Agent->tick(Now);
+    } while (Now < End);
+  }
+
+  // Returns a packet with one of its flags set.
+  static Packet with(bool Packet::*Flag) {
+    Packet Result;
+    Result.*Flag = true;
+    return Result;
+  }
+
+  static Packet data(uint32_t Sequence) {
+    Packet Result;
+    Result.Sequence = Sequence;
+    Result.DataBytes = 100;
+    return Result;
+  }
+
+  void fromClient(uint16_t Port, Packet Value) {
+    Value.Flow = flow(Port);
+    FrameHeader Header;
+    Header.Service = base::serviceIdOf(Service);
+    Header.Routes = 10;
+    Agent->onFrame(BalancerAddress, Header, Value, Now);
+  }
+
+  void fromTarget(uint16_t Port, Packet Value) {
+    Value.Flow = flow(Port);
+    Agent->onTargetPacket(Value, Now);
+  }
+
+  void open(uint16_t Port) { fromClient(Port, with(&Packet::Opens)); }
+  void accept(uint16_t Port) { fromTarget(Port, with(&Packet::Accepts)); }
+  void request(uint16_t Port, uint32_t Sequence = 1) {
+    fromClient(Port, data(Sequence));
+  }
+  void respond(uint16_t Port) { fromTarget(Port, data(1)); }
+
+  // Serves one request on a flow that both ends close, the target first.
+  void serve(uint16_t Port, uint32_t Sequence = 1) {
+    open(Port);
+    accept(Port);
+    request(Port, Sequence);
+    respond(Port);
+    fromTarget(Port, with(&Packet::Finishes));
+    fromClient(Port, with(&Packet::Finishes));
+    fromTarget(Port, Packet()); // acknowledges the client's end
+  }
+
+  // Returns the status after all that is due to be reported.
+  const TargetStatus &status() {
+    advance(seconds(1));
+    return Reported;
+  }
+
+  std::unique_ptr<FlowAgent> Agent;
+  TargetStatus Reported;
+  base::TimePoint Now = base::TimePoint(seconds(100));
+  uint64_t Heartbeats = 0;
+  uint32_t LastTag = 0;
+};
+
+// Guards against a flow at a reused port that counts neither as open nor as
+// waiting, since the record of the closed flow before it has another sequence.
+TEST_F(LoadCountersTest, AReusedPortIsANewFlow) {
+  serve(1, 1U << 31);
+  open(1);
+  accept(1);
+  request(1, 1);
+  EXPECT_EQ(status().Waiting, 1U);
+  respond(1);
+  EXPECT_EQ(status().Flows, 1U);
+  EXPECT_EQ(status().Waiting, 0U);
+}
+} // namespace
+} // namespace burdockstream::flows::test
