Do not count a closed flow as open again at its target's last packet

Cause: the agent stops counting a flow at the target's FIN. The target's acknowledgement of the client's FIN carries no flag, so the flow was counted as open once more, until its record was dropped 30 to 60 s later. The reported number of open flows grew with all flows that a target had ever served, and placement preferred the targets that had served the fewest: the slowest.

Ruled out: the weight of an open flow in placement. It fits long flows; with a correct count it adds nothing where each request is a flow of its own.

Change: a flow that its target has closed is not counted again.

Evidence: LoadCountersTest.AClosedFlowStaysClosed fails before (20 open flows in place of 0), passes after.

--- a/packages/flows/src/FlowAgent.cpp
+++ b/packages/flows/src/FlowAgent.cpp
@@ -153,7 +153,8 @@
   completeTrial(Packet.Flow);
   if (!Packet.Accepts && !Packet.Aborts) {
     Record.Open = true;
-    if (!Record.Counted && !Packet.Finishes) {
+    // The target still acknowledges the client's end after its own.
+    if (!Record.Counted && !Record.Closing && !Packet.Finishes) {
       Record.Counted = true;
       ++OpenFlows;
     }
--- a/packages/flows/test/LoadCountersTest.cpp
+++ b/packages/flows/test/LoadCountersTest.cpp
@@ -122,6 +122,16 @@
   uint32_t LastTag = 0;
 };
 
+// Guards against a flow that counts as open again when the target acknowledges
+// the client's end: the load of a target would grow with all flows that it has
+// served, and balancers would prefer those that have served the fewest.
+TEST_F(LoadCountersTest, AClosedFlowStaysClosed) {
+  for (uint16_t Port = 1; Port <= 20; ++Port)
+    serve(Port);
+  EXPECT_EQ(status().Flows, 0U);
+  EXPECT_EQ(status().Waiting, 0U);
+}
+
 // Guards against a flow at a reused port that counts neither as open nor as
 // waiting, since the record of the closed flow before it has another sequence.
 TEST_F(LoadCountersTest, AReusedPortIsANewFlow) {
