Do not count a flow that its client has reset as open

Seen by the property test, not by callers: a packet that the target had sent before it received the client's reset created a new record, which counted as an open flow for 30 to 60 s.

Ruled out: dropping such packets' records altogether. A target may ignore a reset that is out of its window; the agent must still answer that it holds the flow.

Evidence: LoadCountersTest.AFlowThatItsClientResetStaysClosed and the property test RandomPacketsTest.CountersFollowTheFlowsThatExist (random orders of openings, copies, refusals, requests, ends and resets from either side) fail before (1 open flow in place of 0), pass after.

--- a/packages/flows/include/burdockstream/flows/FlowAgent.h
+++ b/packages/flows/include/burdockstream/flows/FlowAgent.h
@@ -242,7 +242,8 @@
     bool Waiting = false; // a request has no answer yet
     bool Counted = false; // included in OpenFlows
     bool Opening = false; // its first request has not arrived yet
-    bool Closing = false; // the target has closed its side
+    // The target has closed its side, or the client has reset the flow.
+    bool Closing = false;
   };
   struct Balancer {
     base::SocketAddress Address;
@@ -334,6 +335,7 @@
   AgingMap<Trial> Trials;
   FlowTimeQueue TrialStartTimes;
   AgingMap<bool> NotHeld;
+  AgingMap<bool> ResetByClient;
   base::TimePoint NextAging{};
   base::TimePoint NextNotHeldAging{};
   FlowTimeQueue Openings;    // delivered opening packets
--- a/packages/flows/src/AgentOpenings.cpp
+++ b/packages/flows/src/AgentOpenings.cpp
@@ -67,6 +67,7 @@
   Record.Class = static_cast<WorkClass>(
       std::min<size_t>(Header.WorkClass, WorkClasses - 1));
   NotHeld.erase(Packet.Flow);
+  ResetByClient.erase(Packet.Flow);
   recordOpening(Record, Packet.Flow, Now);
   deliver(From, Packet, false);
   reportDecision(DecisionKind::Delivered, ReturnReason::None, Packet.Flow, From,
--- a/packages/flows/src/AgentStatus.cpp
+++ b/packages/flows/src/AgentStatus.cpp
@@ -141,6 +141,7 @@
   }
   if (Now >= NextNotHeldAging) {
     NotHeld.age([](const FlowKey &, bool) {});
+    ResetByClient.age([](const FlowKey &, bool) {});
     Trials.age([](const FlowKey &, const Trial &) {});
     NextNotHeldAging = Now + NotHeldRetention;
   }
--- a/packages/flows/src/FlowAgent.cpp
+++ b/packages/flows/src/FlowAgent.cpp
@@ -72,8 +72,10 @@
   if (Record)
     recordRequest(*Record, Packet, Now);
   deliver(From, Packet, false);
-  if (Packet.Aborts)
-    forget(Packet.Flow);
+  if (!Packet.Aborts)
+    return;
+  forget(Packet.Flow);
+  ResetByClient.insert(Packet.Flow) = true;
 }
 
 void FlowAgent::deliver(base::SocketAddress From, const Packet &Packet,
@@ -150,6 +152,8 @@
   if (Packet.Returned)
     return onReturned(Packet, Now);
   FlowRecord &Record = Flows.insert(Packet.Flow);
+  // The target had sent this packet before it received the client's reset.
+  Record.Closing = Record.Closing || ResetByClient.use(Packet.Flow);
   completeTrial(Packet.Flow);
   if (!Packet.Accepts && !Packet.Aborts) {
     Record.Open = true;
--- a/packages/flows/test/LoadCountersTest.cpp
+++ b/packages/flows/test/LoadCountersTest.cpp
@@ -1,7 +1,10 @@
 // The counters that an agent reports as load, for any order of packets.
 #include "burdockstream/flows/FlowAgent.h"
 
+#include "burdockstream/base/Random.h"
+
 #include <gtest/gtest.h>
+#include <map>
 
 namespace burdockstream::flows::test {
 namespace {
@@ -144,5 +147,111 @@
   EXPECT_EQ(status().Flows, 1U);
   EXPECT_EQ(status().Waiting, 0U);
 }
+
+// Guards against a flow that its client has reset and that counts as open
+// again, because a packet of the target was on its way.
+TEST_F(LoadCountersTest, AFlowThatItsClientResetStaysClosed) {
+  open(1);
+  accept(1);
+  request(1);
+  fromClient(1, with(&Packet::Aborts));
+  respond(1);
+  EXPECT_EQ(status().Flows, 0U);
+  EXPECT_EQ(status().Waiting, 0U);
+}
+
+// Packets of random flows in random order, as copies, losses and reordering on
+// the way produce them. A fake target that holds a flow from its opening packet
+// to its end bounds the counters.
+class RandomPacketsTest : public LoadCountersTest {
+protected:
+  static constexpr uint16_t Ports = 12;
+
+  struct TargetFlow {
+    uint32_t Sequence = 0;
+    bool Finished = false; // the target has closed its side
+  };
+
+  void openAt(uint16_t Port) {
+    open(Port);
+    if (base::randomBelow(Random, 4) == 0) {
+      Held.erase(Port);
+      Packet Refused = with(&Packet::Opens);
+      Refused.Returned = true;
+      Refused.Tag = LastTag;
+      return fromTarget(Port, Refused);
+    }
+    Held.try_emplace(Port, TargetFlow{static_cast<uint32_t>(base::randomBelow(
+                                          Random, uint64_t(1) << 32)),
+                                      false});
+    accept(Port);
+  }
+
+  void step() {
+    const auto Port =
+        static_cast<uint16_t>(1 + base::randomBelow(Random, Ports));
+    const auto Found = Held.find(Port);
+    const uint64_t Choice = base::randomBelow(Random, 10);
+    if (Choice == 0)
+      return advance(milliseconds(base::randomBelow(Random, 200)));
+    if (Found == Held.end())
+      return openAt(Port);
+    TargetFlow &Flow = Found->second;
+    switch (Choice) {
+    case 1: // a further copy of the opening packet
+      if (!Flow.Finished)
+        open(Port);
+      return;
+    case 2:
+      return fromClient(Port, with(&Packet::Finishes));
+    case 3:
+      Flow.Finished = true;
+      return fromTarget(Port, with(&Packet::Finishes));
+    case 4:
+      fromTarget(Port, with(&Packet::Aborts));
+      Held.erase(Found);
+      return;
+    case 5: // an acknowledgement of the target is on its way
+      fromClient(Port, with(&Packet::Aborts));
+      Held.erase(Found);
+      return fromTarget(Port, Packet());
+    case 6:
+      return fromTarget(Port, Packet());
+    case 7:
+      return respond(Port);
+    default: // a new request, or a copy of the last one
+      if (base::randomBelow(Random, 2) == 0)
+        Flow.Sequence += 100;
+      return request(Port, Flow.Sequence);
+    }
+  }
+
+  std::map<uint16_t, TargetFlow> Held;
+  base::RandomSource Random{20261206};
+};
+
+// Guards against counters of a status that exceed the flows that exist, or that
+// stay above zero when no flow is left.
+TEST_F(RandomPacketsTest, CountersFollowTheFlowsThatExist) {
+  for (int Round = 0; Round < 200; ++Round) {
+    for (int I = 0; I < 100; ++I)
+      step();
+    Agent->startLeaving(Now); // sends a status at once
+    size_t Open = 0;
+    for (const auto &[Port, Flow] : Held)
+      Open += Flow.Finished ? 0 : 1;
+    ASSERT_LE(Reported.Flows, Open) << "round " << Round;
+    // Openings that the target refused or reset may count for a while.
+    ASSERT_LE(Reported.Waiting, uint32_t(Ports)) << "round " << Round;
+    for (const auto &[Port, Flow] : Held)
+      fromTarget(Port, with(&Packet::Aborts));
+    Held.clear();
+    // Longer than the handshake of an opening that was refused.
+    advance(OpeningTimeoutHandshakes * MaxHandshake + milliseconds(100));
+    ASSERT_EQ(status().Flows, 0U) << "round " << Round;
+    ASSERT_EQ(status().Waiting, 0U) << "round " << Round;
+  }
+}
+
 } // namespace
 } // namespace burdockstream::flows::test
