Wait for an agent that is gone once, not in each search

Cause: a few agents whose target had stopped were gone without a word, and the store lists them until their leases end, 10 s later. Each search for an ended flow waited 300 ms for them, in whichever stage they came, and stages followed each other only after that.

Ruled out: the agents' entries (one that leaves in order is dropped at the next check, within 0.1 s), a pause between searches of a balancer (eight a second), the number of agents asked.

Change: an agent that has left questions unanswered for 300 ms, with no pause of a second between them, has 30 ms in further searches, a round trip; any sign of life restores the full time. The deadline is the agent's own, since one for the whole search was renewed by stopped agents that do answer. A stage does not wait for agents whose target has stopped before the next one is asked. All agents are asked as before.

Test: BalancerTest.FurtherSearchesHardlyWaitForAnAgentThatIsGone fails without the shorter time, as does no other; AFlowOfAnAgentThatHasReturnedIsFound and UnansweredQuestionsTest guard the reverse.

--- a/packages/flows/include/burdockstream/flows/FlowBalancer.h
+++ b/packages/flows/include/burdockstream/flows/FlowBalancer.h
@@ -259,10 +259,9 @@
     // Subset of Outstanding that gets trial deliveries.
     std::vector<TargetIndex> Undecided;
     SearchStage Stage = SearchStage::Preferred;
-    // See LostAgentAnswerTimeout.
-    base::TimePoint LostAgentsAnswerBy{};
-    base::TimePoint StoppedAgentsAnswerBy{}; // of hasCurrentlyStopped()
-    uint32_t Acknowledged = 0;               // last of the client, for a reset
+    base::TimePoint AskedAt{};            // when the last stage was asked
+    base::TimePoint LostAgentsAnswerBy{}; // see UnansweredQuestions
+    uint32_t Acknowledged = 0;            // last of the client, for a reset
     // Packets of the client, to be forwarded to the holder.
     // At least one, at most MaxBufferedPackets.
     std::vector<OwnedPacket> Buffered;
@@ -292,6 +291,7 @@
   bool admitSearch(size_t AgentCount, base::TimePoint Now);
   std::vector<TargetIndex> possibleHolders(SearchStage Stage,
                                            const FlowKey &Flow) const;
+  bool awaitsOnlyStopped(const Search &Running) const;
   std::vector<TargetIndex> notQueried(const Search &Running,
                                       const FlowKey &Flow) const;
   void ask(Search &Running, const std::vector<TargetIndex> &Holders,
--- a/packages/flows/include/burdockstream/flows/SearchLimits.h
+++ b/packages/flows/include/burdockstream/flows/SearchLimits.h
@@ -52,13 +52,6 @@
 inline constexpr base::Duration DepartureCheckInterval =
     std::chrono::milliseconds(500);
 
-// How long a search waits for agents that count as lost, or whose target has
-// stopped, before it resets the flow. Such an agent may be alive:
-// after its restart it does not know this balancer until the next hello. The
-// time is several round trips.
-inline constexpr base::Duration LostAgentAnswerTimeout =
-    std::chrono::milliseconds(300);
-
 // Packets of a flow that are buffered during a search. The client has at most
 // 16 in flight and retransmits the others.
 inline constexpr size_t MaxBufferedPackets = 4;
--- a/packages/flows/include/burdockstream/flows/TargetTable.h
+++ b/packages/flows/include/burdockstream/flows/TargetTable.h
@@ -12,6 +12,7 @@
 #include "burdockstream/base/SocketAddress.h"
 #include "burdockstream/base/Time.h"
 #include "burdockstream/flows/TargetStatus.h"
+#include "burdockstream/flows/UnansweredQuestions.h"
 
 #include <cstdint>
 #include <memory>
@@ -57,6 +58,7 @@
   bool StatusSinceSubscribed = false; // the last status is of this subscription
   base::TimePoint NextHello{};
   base::TimePoint NextPolicy{};
+  UnansweredQuestions Questions;
   // When a packet was last sent to the agent, or its answer was last awaited.
   base::TimePoint LastUsed{};
   TargetStatus Status;
--- a/packages/flows/src/FlowSearch.cpp
+++ b/packages/flows/src/FlowSearch.cpp
@@ -127,18 +127,18 @@
 
 // Asks Holders for the flow of Header, whatever their last statuses say: the
 // target of a stopped one may have started since. Agents that count as lost are
-// asked too, but the search waits for them no longer than
-// LostAgentAnswerTimeout.
+// asked too, but the search waits for them only as UnansweredQuestions allows.
 void FlowBalancer::ask(Search &Running, const std::vector<TargetIndex> &Holders,
                        std::span<const uint8_t> Header, base::TimePoint Now) {
+  Running.AskedAt = Now;
   for (const TargetIndex Index : Holders) {
-    const Target &Agent = *Targets.at(Index);
+    Target &Agent = *Targets.at(Index);
+    Agent.Questions.ask(Now);
     Running.Queried.push_back(Index);
     Batch.add(Agent.Agent, Agent.Service, Header);
-    if (hasCurrentlyStopped(Agent))
-      Running.StoppedAgentsAnswerBy = Now + LostAgentAnswerTimeout;
     if (isLost(Agent, Now))
-      Running.LostAgentsAnswerBy = Now + LostAgentAnswerTimeout;
+      Running.LostAgentsAnswerBy =
+          std::max(Running.LostAgentsAnswerBy, Agent.Questions.answerBy(Now));
     else
       Running.Outstanding.push_back(Index);
   }
@@ -166,11 +166,21 @@
   return true;
 }
 
+// Returns whether all agents that have not answered may be gone, since their
+// targets have stopped. The next stage need not wait for them.
+bool FlowBalancer::awaitsOnlyStopped(const Search &Running) const {
+  return std::all_of(Running.Outstanding.begin(), Running.Outstanding.end(),
+                     [this](TargetIndex Index) {
+                       const Target *Silent = Targets.at(Index);
+                       return !Silent || hasCurrentlyStopped(*Silent);
+                     });
+}
+
 // Returns whether all agents have answered that their targets do not hold the
 // flow. Starts the next stage if this applies to the current stage only.
 bool FlowBalancer::isExhausted(Search &Running, const FlowKey &Flow,
                                base::TimePoint Now) {
-  while (Running.Outstanding.empty() && Running.Stage != SearchStage::All)
+  while (Running.Stage != SearchStage::All && awaitsOnlyStopped(Running))
     if (!queryNextStage(Running, Flow, Now))
       return false;
   if (!Running.Outstanding.empty() || Now < Running.LostAgentsAnswerBy)
@@ -202,8 +212,8 @@
   const auto HasLeft = [&](TargetIndex Index) {
     const Target *Silent = Targets.at(Index);
     return !Silent || (!Silent->HasStatus && isLost(*Silent, Now)) ||
-           (Now >= Running.StoppedAgentsAnswerBy &&
-            hasCurrentlyStopped(*Silent));
+           (hasCurrentlyStopped(*Silent) &&
+            Now >= Silent->Questions.answerBy(Running.AskedAt));
   };
   std::erase_if(Running.Outstanding, HasLeft);
   std::erase_if(Running.Undecided, HasLeft);
@@ -221,6 +231,7 @@
     Target &Agent = *Targets.at(Index);
     // Keeps its subscription, so that its loss is detected.
     Agent.LastUsed = Now;
+    Agent.Questions.ask(Now);
     if (!isUndecided(Running, Index))
       Batch.add(Agent.Agent, Agent.Service, headerOf(Newest));
     else if (Retries)
@@ -300,6 +311,7 @@
   if (Index == NoTarget)
     return;
   ArrivedAt = Now;
+  Targets.at(Index)->Questions.recordAnswer();
   const bool Misnamed = Targets.setAnsweredService(Index, Header.Service);
   switch (Header.Kind) {
   case FrameKind::Returned:
--- a/packages/flows/src/TargetTable.cpp
+++ b/packages/flows/src/TargetTable.cpp
@@ -86,6 +86,7 @@
       Status.Sequence <= Known.Status.Sequence)
     return nullptr;
   Known.HasStatus = true;
+  Known.Questions.recordAnswer();
   Known.EntryDisputed = false;
   Known.LastStatusAt = Now;
   Known.StatusSinceSubscribed = Known.Subscribed;
--- a/packages/flows/test/BalancerTest.cpp
+++ b/packages/flows/test/BalancerTest.cpp
@@ -168,6 +168,68 @@
   EXPECT_EQ(Sim.Resets.size(), 2U);
 }
 
+// Guards against searches that each wait in full for an agent that is gone:
+// after a power failure every request of an ended flow would be late until the
+// agent's lease ends.
+TEST_F(BalancerTest, FurtherSearchesHardlyWaitForAnAgentThatIsGone) {
+  Sim.Agents[0].Core->onProbe(ProbeResult::NoProcess, Sim.Now, Sim.Now);
+  Sim.run(milliseconds(100));
+  Sim.Agents[0].Running = false;
+  Sim.run(milliseconds(500));
+  Sim.send(0, Simulation::flow(40001));
+  Sim.run(LostAgentAnswerTimeout - Tick);
+  EXPECT_TRUE(Sim.Resets.empty());
+  Sim.run(2 * Tick);
+  EXPECT_EQ(Sim.Resets.size(), 1U);
+  Sim.send(0, Simulation::flow(40002));
+  Sim.run(milliseconds(150)); // the latency target of the shortest requests
+  EXPECT_EQ(Sim.Resets.size(), 2U);
+}
+
+// Guards against the reset of an open flow whose agent has returned after it
+// left the questions of an earlier search unanswered.
+TEST_F(BalancerTest, AFlowOfAnAgentThatHasReturnedIsFound) {
+  Sim.Agents[0].Core->onProbe(ProbeResult::NoProcess, Sim.Now, Sim.Now);
+  Sim.run(milliseconds(100));
+  Sim.Agents[0].Running = false;
+  Sim.send(0, Simulation::flow(40001));
+  Sim.run(LostAgentAnswerTimeout + 2 * Tick);
+  ASSERT_EQ(Sim.Resets.size(), 1U);
+  Sim.DropsFrame = [&](base::SocketAddress To, FrameKind Kind) {
+    return To == Sim.Balancers[0].Address && Kind == FrameKind::Status;
+  };
+  Sim.restartAgent(0);
+  Sim.run(HelloInterval);
+  Sim.sendHeartbeat(0);
+  for (size_t I = 1; I < Sim.Agents.size(); ++I)
+    Sim.sendHeartbeat(I, true); // so that the flow opens at the first one
+  Sim.open(1, Simulation::flow(40002));
+  ASSERT_EQ(Sim.holder(Simulation::flow(40002)), 0);
+  Sim.send(0, Simulation::flow(40002));
+  Sim.run(seconds(1));
+  EXPECT_EQ(Sim.Resets.size(), 1U);
+}
+
+// Guards against a short wait for an agent that answers, or that nobody has
+// asked for a while.
+TEST(UnansweredQuestionsTest, AnAnswerOrAPauseRestoresTheFullTime) {
+  const base::TimePoint Start{seconds(100)};
+  UnansweredQuestions Questions;
+  Questions.ask(Start);
+  EXPECT_EQ(Questions.answerBy(Start), Start + LostAgentAnswerTimeout);
+  const base::TimePoint Later = Start + LostAgentAnswerTimeout;
+  Questions.ask(Later);
+  EXPECT_EQ(Questions.answerBy(Later), Later + FurtherAnswerTimeout);
+  const base::TimePoint AfterPause = Later + QuestionPause + milliseconds(1);
+  Questions.ask(AfterPause);
+  EXPECT_EQ(Questions.answerBy(AfterPause),
+            AfterPause + LostAgentAnswerTimeout);
+  Questions.recordAnswer();
+  Questions.ask(AfterPause + milliseconds(500));
+  EXPECT_EQ(Questions.answerBy(AfterPause + milliseconds(500)),
+            AfterPause + milliseconds(500) + LostAgentAnswerTimeout);
+}
+
 // Guards against an opening packet that is dropped because one target is full.
 TEST_F(BalancerTest, OffersARefusedFlowToTheOtherTargets) {
   Sim.Agents[0].Target.Full = Sim.Agents[1].Target.Full = true;
