--- a/packages/flowd/include/burdockstream/flowd/FlowSettings.h
+++ b/packages/flowd/include/burdockstream/flowd/FlowSettings.h
@@ -50,8 +50,11 @@
   base::SocketAddress StoreAddress;
   // Seed addresses of balancers; the list may be stale.
   std::vector<base::SocketAddress> PeerAddresses;
-  base::Duration GracePeriod{0};      // from SIGTERM to SIGKILL
-  double LinkMbps = 1000;             // bandwidth of the VM's link, in Mbit/s
+  base::Duration GracePeriod{0}; // from SIGTERM to SIGKILL
+  double LinkMbps = 1000;        // bandwidth of the VM's link, in Mbit/s
+  // Balancers only: how long a client waits for the acceptance of a flow before
+  // it tries again with another flow; 0: offers are not repeated.
+  base::Duration OpeningAttempt{0};
   std::optional<AgentSettings> Agent; // present if Role is Agent
 
   friend bool operator==(const FlowSettings &, const FlowSettings &) = default;
--- a/packages/flowd/src/FlowSettings.cpp
+++ b/packages/flowd/src/FlowSettings.cpp
@@ -79,6 +79,7 @@
   readPeerAddresses(Root.optional("peers"), Out.PeerAddresses);
   readSeconds(Root.required("grace_period_s"), Out.GracePeriod);
   Root.optional("link_mbps").readReal(LinkRange, Out.LinkMbps);
+  readMilliseconds(Root.optional("opening_attempt_ms"), Out.OpeningAttempt);
   readAgent(Out.Role == FlowRole::Agent ? Root.required("agent")
                                         : Root.optional("agent"),
             Out);
--- a/packages/flows/include/burdockstream/flows/TargetStatus.h
+++ b/packages/flows/include/burdockstream/flows/TargetStatus.h
@@ -51,6 +51,12 @@
   // Limit of new flows per second during the warm-up, as far as the agent
   // knows; 0: none.
   uint32_t WarmupFlowsPerSecond = 0;
+  // Mean time that a request occupies a slot; 0: unknown. Former agents do not
+  // send it.
+  uint32_t SlotTimeUs = 0;
+  // Opening packets that the agent holds, also those that Waiting leaves out
+  // since they will be late. Former agents do not send it.
+  uint32_t HeldOpenings = 0;
 };
 
 } // namespace burdockstream::flows
--- a/packages/flows/src/AgentStatus.cpp
+++ b/packages/flows/src/AgentStatus.cpp
@@ -262,6 +262,11 @@
   Status.NewestRoutesAt = NewestRoutesAt;
   Status.Evacuation = Evacuation;
   Status.WarmupFlowsPerSecond = Warmup.value();
+  Status.SlotTimeUs = static_cast<uint32_t>(
+      std::chrono::duration_cast<std::chrono::microseconds>(
+          ServiceTime.value().value_or(base::Duration(0)))
+          .count());
+  Status.HeldOpenings = static_cast<uint32_t>(Held.size());
   Status.EjectedMs =
       static_cast<uint32_t>(base::toMilliseconds(Ejection.remaining(Now)));
   return Status;
--- a/packages/flows/src/Frame.cpp
+++ b/packages/flows/src/Frame.cpp
@@ -41,7 +41,8 @@
 using StatusFields =
     std::tuple<uint64_t, uint64_t, base::ServiceId, std::string, uint8_t,
                uint32_t, uint32_t, uint32_t, uint32_t, uint32_t, int64_t,
-               base::SocketAddress, base::Revision, bool, uint32_t, uint32_t>;
+               base::SocketAddress, base::Revision, bool, uint32_t, uint32_t,
+               uint32_t, uint32_t>;
 
 // Wire layout of a policy, in the same way.
 using PolicyFields = std::tuple<std::string, base::Revision, bool, uint32_t>;
@@ -135,7 +136,7 @@
       Status.Flows, Status.WarmupMs, Status.ServiceTimeUs, Status.NewestRoutes,
       Status.NewestRoutesAt, Status.Evacuation.Revision,
       Status.Evacuation.Evacuated, Status.EjectedMs,
-      Status.WarmupFlowsPerSecond));
+      Status.WarmupFlowsPerSecond, Status.SlotTimeUs, Status.HeldOpenings));
 }
 
 std::optional<TargetStatus> unpackStatus(std::span<const uint8_t> Body) {
@@ -159,7 +160,9 @@
                       std::get<11>(*Fields),
                       {std::get<12>(*Fields), std::get<13>(*Fields)},
                       std::get<14>(*Fields),
-                      std::get<15>(*Fields)};
+                      std::get<15>(*Fields),
+                      std::get<16>(*Fields),
+                      std::get<17>(*Fields)};
 }
 
 std::vector<uint8_t> packPolicy(const TargetPolicy &Policy) {
