State the capacity of a service, and report when it is short

Reason: no process knew whether a service as a whole is short of capacity, so balancers offered opening packets that could not be served in time, and operators could not see a shortage.

flows/ServiceCapacity.h computes rate, work ahead and expected wait of a new opening from the statuses that a balancer has. Targets without a measured slot time count with the lower median of the others; with fewer than two measured ones nothing is concluded. The measured slot time of a target in its warm-up includes the slowness, so the rate is taken from it as it is, and rises by WarmupFactor when the warm-up ends. The status counts held openings that would be on time as waiting too; they are counted once. Ejected targets are left out as in placement. ShortageMonitor reports when a service becomes short (a new request would miss the latency target) and when it no longer is (half of that wait), at most once a second, and extrapolates the fall of the wait over the last second to the end of the shortage.

FlowBalancer::expectedWait offers the wait to the decision on opening packets; nothing uses it yet. flowd/CapacityReports exports gauges for each service, the section "services" of /v1/daemon, and the log lines capacity_short, capacity_sufficient and capacity_unknown.

--- a/packages/flowd/src/BalancerDaemon.cpp
+++ b/packages/flowd/src/BalancerDaemon.cpp
@@ -48,6 +48,7 @@
     : Settings(std::move(InitSettings)),
       Environment(std::move(InitEnvironment)), Log(InitLog),
       OnFinished(std::move(InitOnFinished)), Decisions(Log, Registry),
+      Capacity(Log, Registry),
       Core({Settings.FailureDomain, Settings.ControlAddress,
             Environment.Codec.HeaderBytes,
             Settings.LinkMbps * BytesPerSecondPerMbps, Settings.OpeningAttempt},
@@ -204,10 +205,12 @@
                             {{"socket", "frames"}});
     store::exportCounters(Registry, Store->counters());
     exportState(Registry, Core, readClocks().Monotonic);
+    Capacity.exportGauges(readClocks().Monotonic);
     return Registry.snapshot();
   };
   Sources.Daemon = [this] {
     Json::Value Report = describe(Core, readClocks().Monotonic);
+    Report["services"] = Capacity.describe(readClocks().Monotonic);
     Report["name"] = Settings.Name;
     Report["ready"] = isReady();
     for (const base::SocketAddress Peer : PeerQueries.queriedPeers())
@@ -288,6 +291,7 @@
 void BalancerDaemon::tick() {
   const base::Now Now = readClocks();
   Core.tick(Now.Monotonic);
+  Capacity.update(Core, Now);
   Log.reportDroppedLines(Now);
   if (const auto Peer =
           PeerQueries.takeDueRoutesQuery(Core.routesRevision(), Now.Monotonic))
--- a/packages/flowd/src/BalancerDaemon.h
+++ b/packages/flowd/src/BalancerDaemon.h
@@ -4,6 +4,7 @@
 #ifndef BURDOCKSTREAM_FLOWD_BALANCERDAEMON_H
 #define BURDOCKSTREAM_FLOWD_BALANCERDAEMON_H
 
+#include "CapacityReports.h"
 #include "DecisionLog.h"
 #include "FlowReports.h"
 #include "FrameSocket.h"
@@ -75,6 +76,7 @@
   std::function<void()> OnFinished;
   base::Metrics Registry;
   DecisionLog Decisions;
+  CapacityReports Capacity;
   flows::FlowBalancer Core;
   base::RandomSource Random;
   std::unique_ptr<store::Store> Store;
--- a/packages/flowd/test/ReportsTest.cpp
+++ b/packages/flowd/test/ReportsTest.cpp
@@ -167,6 +167,8 @@
   ASSERT_TRUE(Document.has_value());
   EXPECT_EQ(Document.value().root()["role"].asString(), GetParam());
   EXPECT_EQ(Document.value().root()["name"].asString(), "d");
+  EXPECT_EQ(Document.value().root()["services"].isArray(),
+            GetParam() == "balancer");
   const http::HttpResponse Flow =
       fetch("/v1/flow?client=100.64.0.7:1025&service=198.18.0.1:443");
   EXPECT_EQ(Flow.Status, 200U);
--- a/packages/flows/include/burdockstream/flows/FlowBalancer.h
+++ b/packages/flows/include/burdockstream/flows/FlowBalancer.h
@@ -32,6 +32,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <unordered_map>
 #include <vector>
 
@@ -214,6 +215,12 @@
   // Returns whether routes are known and some agent has sent a recent status.
   bool canServe(base::TimePoint Now) const;
 
+  // Returns the time until a slot of Service is free for a new opening, from
+  // the statuses of its targets, or nullopt if they do not show it. Takes one
+  // pass over the targets of Service; see ServiceCapacity.h.
+  std::optional<base::Duration> expectedWait(base::ServiceId Service,
+                                             base::TimePoint Now) const;
+
   const RouteTable *routes() const { return Routes.get(); }
   // Revision of the routes in force, 0 if there are none.
   base::Revision routesRevision() const {
