Bound what the capacity reports cost at the design size

Found in the review of the part: each tick of 50 ms went through all routes for each service, ten million steps at 3,300 services with a route each, and estimated all services, 3 ms.

Change: the latency targets of services are read once per configuration, in one pass, and estimates follow each other in 250 ms, the interval of statuses of other failure domains.

--- a/packages/flowd/src/CapacityReports.cpp
+++ b/packages/flowd/src/CapacityReports.cpp
@@ -47,12 +47,25 @@
   }
 }
 
+void CapacityReports::readRoutes(const flows::RouteTable *Routes) {
+  if (!Routes || Routes->Revision == RoutesRevision)
+    return;
+  RoutesRevision = Routes->Revision;
+  LatencyTargets = flows::latencyTargets(*Routes);
+}
+
 void CapacityReports::update(const flows::FlowBalancer &Core, base::Now Now) {
+  if (Now.Monotonic < NextUpdate)
+    return;
+  NextUpdate = Now.Monotonic + CapacityInterval;
+  readRoutes(Core.routes());
   nameServices(Core.targets());
   for (auto &[Id, Known] : Services) {
     Known.Capacity = capacityOf(Core.targets(), Id, Now.Monotonic);
-    const auto LatencyTarget =
-        Core.routes() ? latencyTargetOf(*Core.routes(), Id) : std::nullopt;
+    const auto Target = LatencyTargets.find(Id);
+    const auto LatencyTarget = Target == LatencyTargets.end()
+                                   ? std::nullopt
+                                   : std::optional(Target->second);
     const auto WasShortFor = Monitor.shortFor(Id, Now.Monotonic);
     const auto Change =
         Monitor.update(Id, Known.Capacity, LatencyTarget, Now.Monotonic);
--- a/packages/flowd/src/CapacityReports.h
+++ b/packages/flowd/src/CapacityReports.h
@@ -12,12 +12,18 @@
 #include <json/value.h>
 #include <map>
 #include <string>
+#include <unordered_map>
 
 namespace burdockstream::flowd {
 
 // Value of gauges for times that are not known.
 inline constexpr int64_t UnknownTimeMs = -1;
 
+// Interval between estimates, that of statuses of other failure domains. An
+// estimate takes about 1 us for each service, and there may be thousands.
+inline constexpr base::Duration CapacityInterval =
+    std::chrono::milliseconds(250);
+
 // Thread safety, for all methods: loop thread only.
 class CapacityReports {
 public:
@@ -26,7 +32,8 @@
       : Log(InitLog), Registry(InitRegistry) {}
 
   // Takes the capacity of all services that Core knows targets of, and logs
-  // changes. Call several times per second; Now does not decrease.
+  // changes. Does nothing before CapacityInterval has passed since the last
+  // time. Call several times per second; Now does not decrease.
   void update(const flows::FlowBalancer &Core, base::Now Now);
 
   // Sets the gauges as of the last update.
@@ -54,6 +61,7 @@
     int64_t ExpectedToLastMs = 0;
   };
 
+  void readRoutes(const flows::RouteTable *Routes);
   void nameServices(const flows::TargetTable &Targets);
   Values valuesOf(base::ServiceId Id, const Service &Known,
                   base::TimePoint Now) const;
@@ -66,6 +74,9 @@
   base::Metrics &Registry;
   flows::ShortageMonitor Monitor;
   std::map<base::ServiceId, Service> Services;
+  base::TimePoint NextUpdate{};
+  base::Revision RoutesRevision = 0; // that LatencyTargets are of
+  std::unordered_map<base::ServiceId, base::Duration> LatencyTargets;
 };
 
 } // namespace burdockstream::flowd
--- a/packages/flowd/test/CapacityReportsTest.cpp
+++ b/packages/flowd/test/CapacityReportsTest.cpp
@@ -132,7 +132,7 @@
   EXPECT_EQ(Id.size(), 16U);
   EXPECT_EQ(gauge("work_ahead", Id), 54);
   list();
-  run(27, Tick);
+  run(27, CapacityInterval + Tick);
   EXPECT_EQ(gauge("work_ahead"), 54);
   EXPECT_EQ(gauge("work_ahead", Id), 0);
   Now += seconds(2);
--- a/packages/flows/include/burdockstream/flows/ServiceCapacity.h
+++ b/packages/flows/include/burdockstream/flows/ServiceCapacity.h
@@ -50,10 +50,11 @@
                                           base::ServiceId Service,
                                           base::TimePoint Now);
 
-// Returns the shortest latency target of the routes to Service, or nullopt if
-// none defines one. Thread safety: any thread.
-std::optional<base::Duration> latencyTargetOf(const RouteTable &Table,
-                                              base::ServiceId Service);
+// Returns the shortest latency target of the routes to each service; services
+// without one are missing. Takes one pass over the routes. Thread safety: any
+// thread.
+std::unordered_map<base::ServiceId, base::Duration>
+latencyTargets(const RouteTable &Table);
 
 // Expected waits at which a service becomes short of capacity (above Begin) and
 // at which it is no longer short (at most End).
--- a/packages/flows/src/ServiceCapacity.cpp
+++ b/packages/flows/src/ServiceCapacity.cpp
@@ -144,18 +144,17 @@
   return Result;
 }
 
-std::optional<base::Duration> latencyTargetOf(const RouteTable &Table,
-                                              base::ServiceId Service) {
-  std::optional<base::Duration> Shortest;
+std::unordered_map<base::ServiceId, base::Duration>
+latencyTargets(const RouteTable &Table) {
+  std::unordered_map<base::ServiceId, base::Duration> Shortest;
   for (const auto &[Address, Each] : Table.Routes) {
-    const bool Leads =
-        std::any_of(Each.Services.begin(), Each.Services.end(),
-                    [&](const WeightedService &Weighted) {
-                      return Weighted.Service == Service && Weighted.Weight > 0;
-                    });
-    if (Leads && Each.Time &&
-        (!Shortest || Each.Time->ToLatencyTarget < *Shortest))
-      Shortest = Each.Time->ToLatencyTarget;
+    if (!Each.Time)
+      continue;
+    for (const WeightedService &To : Each.Services) {
+      const auto Known =
+          Shortest.try_emplace(To.Service, Each.Time->ToLatencyTarget).first;
+      Known->second = std::min(Known->second, Each.Time->ToLatencyTarget);
+    }
   }
   return Shortest;
 }
--- a/packages/flows/test/ServiceCapacityTest.cpp
+++ b/packages/flows/test/ServiceCapacityTest.cpp
@@ -263,8 +263,9 @@
                                 {},
                                 WorkClass::Idempotent,
                                 RequestTime{LatencyTarget, seconds(4)}};
-  EXPECT_EQ(latencyTargetOf(Table, ShopId), LatencyTarget);
-  EXPECT_EQ(latencyTargetOf(Table, base::serviceIdOf(Vault)), std::nullopt);
+  const std::unordered_map<base::ServiceId, base::Duration> Expected{
+      {ShopId, LatencyTarget}};
+  EXPECT_EQ(latencyTargets(Table), Expected);
 }
 
 } // namespace
