Offer an opening packet again until the client's attempt ends

Reason: after a power failure at peak load an opening packet was offered to four targets, held for 150 ms at each, and then reset.

Change, on routes with a timeout of at least twice opening_attempt_ms: - While other targets are left in the first round, a Forward frame carries the reason Busy. The agent of a busy target then sends its status to the balancer and returns the packet at once. - A packet that the first round has returned is offered to one target at a time, at most once per 150 ms, until 150 ms before the attempt ends.

The setting opening_attempt_ms rejected 0, which the page and the example state as "off". It is accepted now.

--- a/packages/flowd/src/DecisionLog.cpp
+++ b/packages/flowd/src/DecisionLog.cpp
@@ -18,6 +18,8 @@
     Fields["agent"] = base::toString(Decision.Target);
   if (Decision.Balancer != base::SocketAddress())
     Fields["balancer"] = base::toString(Decision.Balancer);
+  if (Decision.Round > 0)
+    Fields["round"] = Decision.Round;
   Fields["candidates"] = Decision.Candidates;
   Fields["waiting"] = Decision.Waiting;
   Fields["slots"] = Decision.Slots;
--- a/packages/flowd/src/FlowReports.cpp
+++ b/packages/flowd/src/FlowReports.cpp
@@ -87,6 +87,18 @@
   return Entry;
 }
 
+// Raises Total to Value, a count that the core keeps.
+void raise(base::Counter &Total, uint64_t Value) {
+  Total.add(Value - Total.value());
+}
+
+void exportOffers(base::Metrics &Registry, const flows::OfferCounters &Counts) {
+  raise(Registry.counter("offers", {{"round", "first"}}), Counts.FirstRound);
+  raise(Registry.counter("offers", {{"round", "further"}}),
+        Counts.FurtherRounds);
+  raise(Registry.counter("openings_unserved"), Counts.Unserved);
+}
+
 } // namespace
 
 std::optional<http::ServerAnswer>
@@ -130,6 +142,7 @@
   Registry.gauge("packets_parked").set(static_cast<int64_t>(Core.parked()));
   Registry.gauge("searches_dropped")
       .set(static_cast<int64_t>(Core.droppedSearches()));
+  exportOffers(Registry, Core.offerCounters());
 }
 
 void exportState(base::Metrics &Registry, const flows::FlowAgent &Core,
--- a/packages/flowd/src/FlowSettings.cpp
+++ b/packages/flowd/src/FlowSettings.cpp
@@ -16,12 +16,14 @@
 
 constexpr size_t MaxPeers = 64;
 constexpr base::IntegerRange IntervalRange{50, 60'000}; // milliseconds
+constexpr base::IntegerRange AttemptRange{0, 60'000};   // milliseconds, 0: off
 constexpr base::IntegerRange DelayRange{1, 3'600};      // seconds
 constexpr base::IntegerRange LinkRange{1, 1'000'000};   // Mbit/s
 
-void readMilliseconds(const JsonNode &Node, base::Duration &Out) {
+void readMilliseconds(const JsonNode &Node, base::Duration &Out,
+                      const base::IntegerRange &Range = IntervalRange) {
   int64_t Value = 0;
-  if (Node.readInteger(IntervalRange, Value))
+  if (Node.readInteger(Range, Value))
     Out = std::chrono::milliseconds(Value);
 }
 
@@ -79,7 +81,8 @@
   readPeerAddresses(Root.optional("peers"), Out.PeerAddresses);
   readSeconds(Root.required("grace_period_s"), Out.GracePeriod);
   Root.optional("link_mbps").readReal(LinkRange, Out.LinkMbps);
-  readMilliseconds(Root.optional("opening_attempt_ms"), Out.OpeningAttempt);
+  readMilliseconds(Root.optional("opening_attempt_ms"), Out.OpeningAttempt,
+                   AttemptRange);
   readAgent(Out.Role == FlowRole::Agent ? Root.required("agent")
                                         : Root.optional("agent"),
             Out);
--- a/packages/flowd/test/FlowSettingsTest.cpp
+++ b/packages/flowd/test/FlowSettingsTest.cpp
@@ -59,6 +59,21 @@
   EXPECT_EQ(Problem(replaced(Balancer, "1000", "12.5")), "accepted");
 }
 
+// Guards against a balancer that rejects the value that switches repeated
+// offers off, or that switches them on without the setting.
+TEST(FlowSettingsTest, RepeatedOffersAreOffUnlessStated) {
+  const std::string Field = "\"opening_attempt_ms\": 1400,";
+  const auto Attempt = [&](const std::string &Replacement) {
+    const auto Parsed = parseFlowSettings(
+        replaced(example("balancer.json"), Field, Replacement), "b");
+    return Parsed.has_value() ? Parsed.value().OpeningAttempt
+                              : base::Duration(-1);
+  };
+  EXPECT_EQ(Attempt(""), base::Duration(0));
+  EXPECT_EQ(Attempt("\"opening_attempt_ms\": 0,"), base::Duration(0));
+  EXPECT_EQ(Attempt(Field), std::chrono::milliseconds(1400));
+}
+
 TEST(AgentEntriesTest, ParsesFormattedEntry) {
   const flows::AgentEntry Entry{{0x0A010203, 7000}, "shopdesk", "bc-kam"};
   const auto Parsed =
--- a/packages/flowd/test/ReportsTest.cpp
+++ b/packages/flowd/test/ReportsTest.cpp
@@ -150,7 +150,9 @@
                                      "failure_domains_evacuated",
                                      "searches",
                                      "searches_dropped",
-                                     "packets_parked"}
+                                     "packets_parked",
+                                     "offers_total",
+                                     "openings_unserved_total"}
           : std::vector<std::string>{
                 "heartbeat_age_ms", "requests_waiting",
                 "openings_held",    "slots",
--- a/packages/flows/include/burdockstream/flows/FlowAgent.h
+++ b/packages/flows/include/burdockstream/flows/FlowAgent.h
@@ -309,6 +309,7 @@
              base::TimePoint Now);
   TargetStatus status(base::TimePoint Now);
   void sendStatuses(base::TimePoint Now, Audience To);
+  void sendStatusTo(base::SocketAddress To, base::TimePoint Now);
   void expireSubscriptions(base::TimePoint Now);
   void resumeSubscriptions(base::TimePoint Now);
   uint16_t balancerIndex(base::SocketAddress Address);
--- a/packages/flows/include/burdockstream/flows/FlowBalancer.h
+++ b/packages/flows/include/burdockstream/flows/FlowBalancer.h
@@ -17,6 +17,8 @@
 #include "burdockstream/flows/AgingMap.h"
 #include "burdockstream/flows/Evacuations.h"
 #include "burdockstream/flows/FlowDecision.h"
+#include "burdockstream/flows/FlowEntry.h"
+#include "burdockstream/flows/OfferPolicy.h"
 #include "burdockstream/flows/Packet.h"
 #include "burdockstream/flows/ParkedPackets.h"
 #include "burdockstream/flows/Placement.h"
@@ -136,9 +138,6 @@
 // flow that it no longer knows is searched.
 inline constexpr base::Duration MaxFlowRetention = std::chrono::minutes(10);
 
-// Maximum number of targets that an opening packet is offered to.
-inline constexpr size_t MaxOffers = 4;
-
 // Thread safety, for all methods: loop thread only. Precondition: Now does not
 // decrease between calls.
 class FlowBalancer {
@@ -229,18 +228,9 @@
   BalancerFlowView view(const FlowKey &Flow) const;
   // Packets dropped because neither a search nor a parking place was available.
   uint64_t droppedSearches() const { return DroppedSearchCount; }
+  const OfferCounters &offerCounters() const { return Counters; }
 
 private:
-  struct FlowEntry {
-    TargetIndex Target = NoTarget;
-    // Targets that the opening packet was sent to; the first Offers are valid.
-    std::array<TargetIndex, MaxOffers> Offered{};
-    uint8_t Offers = 0;
-    uint8_t Refusals = 0;   // offers that were returned
-    bool MayBeOpen = false; // another balancer may have offered it
-    // When the client sent the first copy of its opening packet.
-    base::TimePoint FirstCopySentAt{};
-  };
   // A queued trial delivery to an undecided agent.
   struct PendingTrial {
     FlowKey Flow;
@@ -282,6 +272,19 @@
   void findCandidates(const FlowKey &Flow, base::ServiceId Service,
                       const FlowEntry &Entry, double Penalty,
                       base::TimePoint Now);
+  void findCandidates(const FlowKey &Flow, const Route &Route,
+                      const FlowEntry &Entry, base::TimePoint Now);
+  void placeAt(TargetIndex Index, const Packet &Packet, const Route &Route,
+               FlowEntry &Entry, base::TimePoint Now);
+  void refuseOrPark(const Packet &Packet, const Route &Route, FlowEntry &Entry,
+                    base::TimePoint Now);
+  void placeAgain(const Packet &Packet, const Route &Route, FlowEntry &Entry,
+                  base::TimePoint Now);
+  std::optional<TargetIndex> chooseAgain(const FlowKey &Flow,
+                                         const Route &Route, FlowEntry &Entry,
+                                         base::TimePoint Now);
+  void endOpening(const Packet &Packet, const FlowEntry &Entry,
+                  base::TimePoint Now);
   void offer(const Packet &Packet, const FlowEntry &Entry, const Route &Route,
              base::TimePoint Now);
   void send(const Packet &Packet, TargetIndex Index, FrameHeader Header);
@@ -343,7 +346,8 @@
   void requestDueCatchUps(base::TimePoint Now);
   void recordListChange(base::TimePoint Now);
   void reportDecision(DecisionKind Kind, const FlowKey &Flow, TargetIndex Index,
-                      size_t Candidates, base::TimePoint Now);
+                      size_t Candidates, base::TimePoint Now,
+                      uint32_t Round = 0);
 
   BalancerIdentity Self;
   BalancerHooks Hooks;
@@ -364,6 +368,7 @@
   // their turn because the flow has been found.
   std::multimap<std::pair<SearchStage, uint64_t>, PendingTrial> PendingTrials;
   uint64_t DroppedSearchCount = 0;
+  OfferCounters Counters;
   ParkedPackets Parked;
   base::TimePoint ArrivedAt{}; // of the packet that is being handled
   bool Replaying = false;      // that packet was parked before
--- a/packages/flows/include/burdockstream/flows/FlowDecision.h
+++ b/packages/flows/include/burdockstream/flows/FlowDecision.h
@@ -34,9 +34,14 @@
   AskedAgain,   // the search was repeated to agents without an answer, such as
                 // Target
   HeldBack, // an opening packet is held at the agent because its target is busy
-  GivenUp,  // an opening packet was dropped after the request's time limit
+  // An opening packet was dropped at the request's time limit or, if a target
+  // may have accepted it, at the end of the client's attempt.
+  GivenUp,
+  // Reset: all targets are busy until the client's attempt ends, or the request
+  // would wait longer than its timeout.
+  RefusedBusy,
 };
-inline constexpr size_t DecisionKinds = 17;
+inline constexpr size_t DecisionKinds = 18;
 
 // Returns the name used in logs and metrics. Thread safety: any thread.
 std::string_view toString(DecisionKind Kind);
@@ -50,8 +55,9 @@
   base::SocketAddress
       Balancer;              // at an agent: the balancer that sent the packet
   base::Revision Routes = 0; // revision of the routes that were applied
-  uint32_t Candidates = 0;   // targets that were eligible or were asked
-  uint32_t Waiting = 0;      // requests at the target without an answer
+  uint32_t Round = 0; // of offers, if they are repeated: 1 is the first round
+  uint32_t Candidates = 0; // targets that were eligible or were asked
+  uint32_t Waiting = 0;    // requests at the target without an answer
   uint32_t Slots = 0;
   base::Duration StatusAge{0}; // age of the target's last status
 };
--- a/packages/flows/include/burdockstream/flows/Frame.h
+++ b/packages/flows/include/burdockstream/flows/Frame.h
@@ -53,6 +53,9 @@
 
 struct FrameHeader {
   FrameKind Kind = FrameKind::Forward;
+  // In a Forward frame with an opening packet, Busy tells the agent to return
+  // the packet at once if the target cannot start it in time. Former agents
+  // ignore it and hold the packet.
   ReturnReason Reason = ReturnReason::None;
   uint8_t WorkClass = 0; // index of the route's class, for histograms
   // Opening packets only: the time left for the flow's first request; nullopt
--- a/packages/flows/include/burdockstream/flows/ParkedPackets.h
+++ b/packages/flows/include/burdockstream/flows/ParkedPackets.h
@@ -23,6 +23,7 @@
   SettledAgentList, // a list of agents that is complete enough to prove
                     // that no target holds the flow
   SearchRateLimit,  // a token for search frames
+  OfferInterval,    // the interval between rounds of offers
 };
 
 // Maximum wait of an opening packet. A client gives up opening a flow after 1.4
--- a/packages/flows/src/AgentOpenings.cpp
+++ b/packages/flows/src/AgentOpenings.cpp
@@ -37,6 +37,11 @@
   const auto Urgency = urgencyOf(load(), Header.Time);
   if ((admits(load(), Urgency) && warmupAdmits(Now)) || IsCopy)
     return deliverOpening(From, Header, Packet, Now);
+  if (Header.Reason == ReturnReason::Busy) {
+    // The balancer chooses the next target by the load that it knows.
+    sendStatusTo(From, Now);
+    return returnOpening(From, Header, Packet, ReturnReason::Busy, Now);
+  }
   Held.hold(From, Header, Packet, Now);
   reportDecision(DecisionKind::HeldBack, Reason, Packet.Flow, From, Header,
                  Now);
--- a/packages/flows/src/AgentStatus.cpp
+++ b/packages/flows/src/AgentStatus.cpp
@@ -272,6 +272,13 @@
   return Status;
 }
 
+void FlowAgent::sendStatusTo(base::SocketAddress To, base::TimePoint Now) {
+  FrameHeader Header;
+  Header.Kind = FrameKind::Status;
+  Header.Routes = NewestRoutes;
+  Hooks.SendFrame(To, Header, packStatus(status(Now)));
+}
+
 void FlowAgent::sendStatuses(base::TimePoint Now, Audience To) {
   const auto Body = packStatus(status(Now));
   FrameHeader Header;
--- a/packages/flows/src/FlowBalancer.cpp
+++ b/packages/flows/src/FlowBalancer.cpp
@@ -95,8 +95,14 @@
                           0, Now);
   }
   FlowEntry *Known = Flows.use(Packet.Flow);
-  if (!Known) {
+  const base::TimePoint FirstCopySentAt = ArrivedAt - Packet.SinceFirstCopy;
+  const bool Reused =
+      Known && !Replaying && repeatsOffers(Self.OpeningAttempt, Route->Time) &&
+      FirstCopySentAt - Known->FirstCopySentAt >= Self.OpeningAttempt;
+  if (!Known || Reused) {
+    // The offers of a former flow at the same port are over.
     Known = &Flows.insert(Packet.Flow);
+    *Known = FlowEntry();
     // Another balancer may have forwarded the first copy, and a target may have
     // accepted it.
     Known->MayBeOpen = Packet.Acknowledged != 0;
@@ -105,7 +111,7 @@
   // so a new packet sets the time again. A replayed packet keeps its time,
   // because its return by a target does not make it newer.
   if (!Replaying || Known->FirstCopySentAt == base::TimePoint())
-    Known->FirstCopySentAt = ArrivedAt - Packet.SinceFirstCopy;
+    Known->FirstCopySentAt = FirstCopySentAt;
   place(Packet, *Route, *Known, Now);
 }
 
@@ -154,33 +160,62 @@
   }
 }
 
+void FlowBalancer::findCandidates(const FlowKey &Flow, const Route &Route,
+                                  const FlowEntry &Entry, base::TimePoint Now) {
+  findCandidates(Flow, chooseService(Route, Flow), Entry,
+                 Route.Class == WorkClass::Download ? RemoteDownloadPenalty
+                                                    : RemotePenalty,
+                 Now);
+}
+
 void FlowBalancer::place(const Packet &Packet, const Route &Route,
                          FlowEntry &Entry, base::TimePoint Now) {
   if (Route.Time && Now - Entry.FirstCopySentAt >= Route.Time->ToTimeLimit)
     return reportDecision(DecisionKind::GivenUp, Packet.Flow, Entry.Target, 0,
                           Now);
-  const base::ServiceId Service = chooseService(Route, Packet.Flow);
-  findCandidates(Packet.Flow, Service, Entry,
-                 Route.Class == WorkClass::Download ? RemoteDownloadPenalty
-                                                    : RemotePenalty,
-                 Now);
+  const bool Repeats = repeatsOffers(Self.OpeningAttempt, Route.Time);
+  if (Repeats && Entry.FurtherRounds > 0)
+    return placeAgain(Packet, Route, Entry, Now);
+  if (Repeats && !Entry.MayBeOpen && !Entry.hasPendingOffer() &&
+      expiresBeforeService(Entry.progress(Now, std::nullopt),
+                           Route.Time->ToTimeLimit))
+    return endOpening(Packet, Entry, Now);
+  findCandidates(Packet.Flow, Route, Entry, Now);
   const auto Chosen =
       Entry.Offers < MaxOffers ? chooseTarget(Choices, Random) : std::nullopt;
-  if (Chosen) {
-    Entry.Target = *Chosen;
-    Entry.Offered[Entry.Offers++] = *Chosen;
-    ++Targets.at(*Chosen)->UnreportedFlows;
-    offer(Packet, Entry, Route, Now);
-    return reportDecision(Entry.Offers == 1 ? DecisionKind::Placed
-                                            : DecisionKind::PlacedAgain,
-                          Packet.Flow, *Chosen, Choices.size(), Now);
-  }
+  if (Chosen)
+    return placeAt(*Chosen, Packet, Route, Entry, Now);
   // An offer that was not returned may still succeed.
-  if (Entry.Offers > Entry.Refusals) {
+  if (Entry.hasPendingOffer()) {
     if (Targets.at(Entry.Target))
       offer(Packet, Entry, Route, Now);
     return;
   }
+  if (Repeats && Entry.Offers > 0)
+    return placeAgain(Packet, Route, Entry, Now);
+  refuseOrPark(Packet, Route, Entry, Now);
+}
+
+void FlowBalancer::placeAt(TargetIndex Index, const Packet &Packet,
+                           const Route &Route, FlowEntry &Entry,
+                           base::TimePoint Now) {
+  Entry.Target = Index;
+  Entry.Offered[Entry.Offers++] = Index;
+  ++Targets.at(Index)->UnreportedFlows;
+  ++(Entry.FurtherRounds > 0 ? Counters.FurtherRounds : Counters.FirstRound);
+  offer(Packet, Entry, Route, Now);
+  const bool First = Entry.FurtherRounds == 0 && Entry.Offers == 1;
+  reportDecision(First ? DecisionKind::Placed : DecisionKind::PlacedAgain,
+                 Packet.Flow, Index, Choices.size(), Now,
+                 repeatsOffers(Self.OpeningAttempt, Route.Time)
+                     ? Entry.FurtherRounds + 1U
+                     : 0);
+}
+
+// Handles a packet that no target can be offered.
+void FlowBalancer::refuseOrPark(const Packet &Packet, const Route &Route,
+                                FlowEntry &Entry, base::TimePoint Now) {
+  const base::ServiceId Service = chooseService(Route, Packet.Flow);
   if (!Entry.MayBeOpen && isSettled(Now) &&
       isCaughtUp(ViewPart::Agents, ArrivedAt - RefusalViewAge, Now))
     return refuse(Packet, DecisionKind::RefusedNoTarget,
@@ -192,7 +227,8 @@
                  Targets.ofService(Service).size(), Now);
 }
 
-// Sends an opening packet to the target of Entry.
+// Sends an opening packet to the target of Entry. Choices must be those that it
+// was chosen from, or empty.
 void FlowBalancer::offer(const Packet &Packet, const FlowEntry &Entry,
                          const Route &Route, base::TimePoint Now) {
   FrameHeader Header;
@@ -200,6 +236,9 @@
   Header.Service = chooseService(Route, Packet.Flow);
   if (Route.Time)
     Header.Time = Route.Time->after(Now - Entry.FirstCopySentAt);
+  if (repeatsOffers(Self.OpeningAttempt, Route.Time) &&
+      !mayBeHeld(Entry.FurtherRounds, Entry.Offers, Choices.size()))
+    Header.Reason = ReturnReason::Busy;
   send(Packet, Entry.Target, Header);
 }
 
@@ -314,7 +353,7 @@
 
 void FlowBalancer::reportDecision(DecisionKind Kind, const FlowKey &Flow,
                                   TargetIndex Index, size_t Candidates,
-                                  base::TimePoint Now) {
+                                  base::TimePoint Now, uint32_t Round) {
   // The first handling of a parked packet has logged this decision already.
   const bool Repeated = Replaying && (Kind == DecisionKind::DroppedNoRoute ||
                                       Kind == DecisionKind::Unsettled);
@@ -325,6 +364,7 @@
   Decision.Flow = Flow;
   Decision.Routes = routesRevision();
   Decision.Candidates = static_cast<uint32_t>(Candidates);
+  Decision.Round = Round;
   if (const Route *Route = Routes ? Routes->find(Flow) : nullptr)
     Decision.Class = Route->Class;
   if (const Target *Chosen = Targets.at(Index)) {
--- a/packages/flows/src/FlowDecision.cpp
+++ b/packages/flows/src/FlowDecision.cpp
@@ -24,6 +24,7 @@
     {DecisionKind::AskedAgain, "asked_again"},
     {DecisionKind::HeldBack, "held_back"},
     {DecisionKind::GivenUp, "given_up"},
+    {DecisionKind::RefusedBusy, "refused_busy"},
 }});
 
 } // namespace
--- a/packages/flows/src/FlowParking.cpp
+++ b/packages/flows/src/FlowParking.cpp
@@ -34,6 +34,7 @@
   if (Settled)
     replay(ParkReason::SettledAgentList, Now);
   replay(ParkReason::SearchRateLimit, Now);
+  replay(ParkReason::OfferInterval, Now);
 }
 
 } // namespace burdockstream::flows
--- a/packages/flows/src/FlowSearch.cpp
+++ b/packages/flows/src/FlowSearch.cpp
@@ -357,7 +357,7 @@
   }
   if (!Entry)
     return;
-  ++Entry->Refusals;
+  Entry->recordReturn(Agent);
   // A copy that was offered to another target since may be accepted there. With
   // outdated routes the flow must wait for newer ones; the client sends a copy.
   if (Entry->Target != Agent || Reason == ReturnReason::OldRoutes)
--- /dev/null
+++ b/packages/flows/src/RepeatedOffers.cpp
@@ -0,0 +1,63 @@
+// Further rounds of offers of an opening packet, see OfferPolicy.h.
+#include "burdockstream/flows/FlowBalancer.h"
+
+namespace burdockstream::flows {
+
+// Offers a packet that the targets of the first round have returned to one more
+// target. Precondition: Route repeats offers.
+void FlowBalancer::placeAgain(const Packet &Packet, const Route &Route,
+                              FlowEntry &Entry, base::TimePoint Now) {
+  Parked.erase(Packet.Flow); // an earlier copy must not be offered as well
+  const bool Pending = Entry.hasPendingOffer();
+  const Target *Last = Targets.at(Entry.Target);
+  // The agent may hold the packet, or its answer was lost. The silence of an
+  // agent without a subscription carries no information.
+  if (Pending && Last && (!Last->Subscribed || acceptsFlows(*Last, Now)))
+    return offer(Packet, Entry, Route, Now);
+  const RoundStep Step =
+      nextRound(Entry.progress(Now, std::nullopt), Self.OpeningAttempt,
+                Route.Time->ToTimeLimit);
+  if (Step == RoundStep::Refuse)
+    return endOpening(Packet, Entry, Now);
+  // An agent that has gone silent may have delivered the packet.
+  Entry.MayBeOpen = Entry.MayBeOpen || Pending;
+  Entry.Refusals = Entry.Offers;
+  FlowEntry Next = Entry;
+  const auto Chosen = chooseAgain(Packet.Flow, Route, Next, Now);
+  if (!Chosen)
+    return refuseOrPark(Packet, Route, Entry, Now);
+  if (Step == RoundStep::Wait)
+    return park(Packet, ParkReason::OfferInterval);
+  Entry = Next;
+  ++Entry.FurtherRounds;
+  placeAt(*Chosen, Packet, Route, Entry, Now);
+}
+
+// Returns the best target that the packet was not offered to recently, or
+// nullopt if none accepts flows.
+std::optional<TargetIndex> FlowBalancer::chooseAgain(const FlowKey &Flow,
+                                                     const Route &Route,
+                                                     FlowEntry &Entry,
+                                                     base::TimePoint Now) {
+  if (Entry.Offers < MaxOffers) {
+    findCandidates(Flow, Route, Entry, Now);
+    if (!Choices.empty())
+      return chooseTarget(Choices, Random);
+  }
+  Entry.Offers = Entry.Refusals = 0;
+  findCandidates(Flow, Route, Entry, Now);
+  return chooseTarget(Choices, Random);
+}
+
+// Ends the client's attempt, so that it can start the next one. A packet that a
+// target may have accepted is not reset.
+void FlowBalancer::endOpening(const Packet &Packet, const FlowEntry &Entry,
+                              base::TimePoint Now) {
+  ++Counters.Unserved;
+  if (Entry.MayBeOpen || Entry.hasPendingOffer())
+    return reportDecision(DecisionKind::GivenUp, Packet.Flow, Entry.Target, 0,
+                          Now);
+  refuse(Packet, DecisionKind::RefusedBusy, Entry.Offers);
+}
+
+} // namespace burdockstream::flows
--- a/packages/flows/test/FlowFixture.cpp
+++ b/packages/flows/test/FlowFixture.cpp
@@ -209,11 +209,13 @@
   }
 }
 
-void Simulation::open(size_t Balancer, const FlowKey &Flow, uint32_t Copy) {
+void Simulation::open(size_t Balancer, const FlowKey &Flow, uint32_t Copy,
+                      base::Duration SinceFirstCopy) {
   Packet Value;
   Value.Flow = Flow;
   Value.Opens = true;
   Value.Acknowledged = Copy;
+  Value.SinceFirstCopy = SinceFirstCopy;
   Balancers[Balancer].Core->onClientPacket(Registry.write(Value), Now);
   deliverFrames();
 }
@@ -266,6 +268,8 @@
 }
 
 void Simulation::deliverToAgent(SimulatedAgent &Place, Frame &Delivered) {
+  if (FormerAgents)
+    Delivered.Header.Reason = ReturnReason::None;
   if (Delivered.Header.Kind == FrameKind::Search)
     return Place.Core->onSearches(Delivered.From, headers(Delivered.Body));
   if (Delivered.Header.Kind == FrameKind::Policy) {
@@ -282,6 +286,8 @@
 }
 
 void Simulation::deliverToBalancer(SimulatedBalancer &Place, Frame &Delivered) {
+  if (SeenFrames)
+    SeenFrames->push_back(Delivered.Header.Kind);
   if (Delivered.Header.Kind == FrameKind::Returned)
     return Place.Core->onAgentAnswer(Delivered.From, Delivered.Header,
                                      Registry.read(Delivered.Body), Now);
--- a/packages/flows/test/FlowFixture.h
+++ b/packages/flows/test/FlowFixture.h
@@ -98,7 +98,8 @@
   void run(base::Duration Time);
 
   // Send a client's packet and return after all resulting frames have arrived.
-  void open(size_t Balancer, const FlowKey &Flow, uint32_t Copy = 0);
+  void open(size_t Balancer, const FlowKey &Flow, uint32_t Copy = 0,
+            base::Duration SinceFirstCopy = base::Duration(0));
   void send(size_t Balancer, const FlowKey &Flow, uint16_t DataBytes = 100);
   // Opens a flow and sends its first request, as a client does.
   void openAndRequest(size_t Balancer, const FlowKey &Flow) {
@@ -124,6 +125,10 @@
   std::vector<base::SocketAddress> MissingEntryReports;
   // Returns whether a frame is lost; if empty, no frame is.
   std::function<bool(base::SocketAddress To, FrameKind)> DropsFrame;
+  // Agents ignore the reason of an opening packet, as former builds do.
+  bool FormerAgents = false;
+  // Frames that agents have sent, in order, if SeenFrames is not null.
+  std::vector<FrameKind> *SeenFrames = nullptr;
   base::ServiceId LastService; // in the frame that DropsFrame is called for
   // Handles BalancerHooks::CatchUp; if empty, the balancer is up to date at
   // once.
--- a/packages/flows/test/FormerBuildTest.cpp
+++ b/packages/flows/test/FormerBuildTest.cpp
@@ -86,6 +86,36 @@
   EXPECT_EQ(Written, Bytes);
 }
 
+// An opening packet of a route with deadlines, as the former build forwards it:
+// its reason byte is zero.
+const char *const FormerOpening =
+    "01000002d98c514d38bcfbf36712000000000000868e";
+
+// Guards against a return of packets that a former balancer expects to be held.
+TEST(FormerOpeningTest, HasNoReason) {
+  auto Bytes = parseHex(FormerOpening);
+  const auto Read = readFrame(Bytes);
+  ASSERT_TRUE(Read.has_value());
+  EXPECT_EQ(Read->Header.Reason, ReturnReason::None);
+  std::vector<uint8_t> Written(MaxFrameHeaderBytes);
+  ASSERT_EQ(writeHeader(Read->Header, Written), Written.size());
+  EXPECT_EQ(Written, Bytes);
+}
+
+// Guards against a header that former agents reject or misread: they accept
+// reasons up to Busy, ignore that of an opening packet, and read the rest from
+// the same bytes.
+TEST(FormerOpeningTest, DiffersByTheReasonByteOnly) {
+  auto Bytes = parseHex(FormerOpening);
+  FrameHeader Header = readFrame(Bytes)->Header;
+  Header.Reason = ReturnReason::Busy;
+  std::vector<uint8_t> Written(MaxFrameHeaderBytes);
+  ASSERT_EQ(writeHeader(Header, Written), Written.size());
+  constexpr uint8_t FormerBusy = 7;
+  Bytes[1] = FormerBusy;
+  EXPECT_EQ(Written, Bytes);
+}
+
 INSTANTIATE_TEST_SUITE_P(Eras, FormerBuildTest, ::testing::ValuesIn(Cases));
 
 } // namespace
