Refuse an opening at once if the capacity of its service shows that it is late

Connects the expected wait of ServiceCapacity to the policy of repeated offers: an opening whose timeout passes before the work ahead of it is done is refused when it arrives, or when a round of offers has ended, in place of being kept. With fewer than two targets of known slot time nothing is concluded, as before.

RepeatedOffersTest.WhatCannotBeServedInTimeIsRefusedAtOnce: a wait of one second is offered, one of ten seconds refused. It fails without the connection.

--- a/packages/flows/src/FlowBalancer.cpp
+++ b/packages/flows/src/FlowBalancer.cpp
@@ -177,8 +177,10 @@
   if (Repeats && Entry.FurtherRounds > 0)
     return placeAgain(Packet, Route, Entry, Now);
   if (Repeats && !Entry.MayBeOpen && !Entry.hasPendingOffer() &&
-      expiresBeforeService(Entry.progress(Now, std::nullopt),
-                           Route.Time->ToTimeLimit))
+      expiresBeforeService(
+          Entry.progress(Now,
+                         expectedWait(chooseService(Route, Packet.Flow), Now)),
+          Route.Time->ToTimeLimit))
     return endOpening(Packet, Entry, Now);
   findCandidates(Packet.Flow, Route, Entry, Now);
   const auto Chosen =
--- a/packages/flows/src/RepeatedOffers.cpp
+++ b/packages/flows/src/RepeatedOffers.cpp
@@ -14,9 +14,9 @@
   // agent without a subscription carries no information.
   if (Pending && Last && (!Last->Subscribed || acceptsFlows(*Last, Now)))
     return offer(Packet, Entry, Route, Now);
-  const RoundStep Step =
-      nextRound(Entry.progress(Now, std::nullopt), Self.OpeningAttempt,
-                Route.Time->ToTimeLimit);
+  const RoundStep Step = nextRound(
+      Entry.progress(Now, expectedWait(chooseService(Route, Packet.Flow), Now)),
+      Self.OpeningAttempt, Route.Time->ToTimeLimit);
   if (Step == RoundStep::Refuse)
     return endOpening(Packet, Entry, Now);
   // An agent that has gone silent may have delivered the packet.
--- a/packages/flows/test/RepeatedOffersTest.cpp
+++ b/packages/flows/test/RepeatedOffersTest.cpp
@@ -326,6 +326,32 @@
   EXPECT_GT(counters().FurtherRounds, Rounds);
 }
 
+// Guards against an opening that waits although the work ahead of it takes
+// longer than its timeout, and against a refusal while it takes less.
+TEST_F(RepeatedOffersTest, WhatCannotBeServedInTimeIsRefusedAtOnce) {
+  start();
+  const auto Report = [&](uint32_t HeldOpenings) {
+    TargetStatus Status;
+    Status.Incarnation = 1'000 + HeldOpenings;
+    Status.Service = base::serviceIdOf(Shop);
+    Status.FailureDomain = "a";
+    Status.State = TargetState::Ready;
+    Status.Slots = Status.Waiting = 2;
+    Status.SlotTimeUs = 40'000;
+    Status.HeldOpenings = HeldOpenings;
+    for (const SimulatedAgent &Place : Sim.Agents)
+      Sim.Balancers[0].Core->onStatus(Place.Address, Status, Sim.Now);
+  };
+  Report(50); // a wait of one second
+  Sim.open(0, New);
+  EXPECT_GE(Sim.holder(New), 0);
+  Report(500); // a wait of ten seconds
+  Sim.open(0, Simulation::flow(40002));
+  EXPECT_EQ(Sim.Resets.size(), 1U);
+  EXPECT_EQ(Sim.count(DecisionKind::RefusedBusy), 1U);
+  EXPECT_EQ(counters().Unserved, 1U);
+}
+
 // Guards against a new flow at a reused port that is treated as a former one,
 // which was kept for several rounds.
 TEST_F(RepeatedOffersTest, AReusedPortStartsAFirstRound) {
