Place flows of patient clients by expected completion time

Placement compared requests per slot, so a target that takes 58 ms per request counted the same as one that takes 24 ms. Routes that call for repeated offers (opening_attempt_ms is set, timeout_ms is at least twice that) now go to the better of two random targets by the expected time until the response: work ahead per slot times the measured slot time, the rest of the warm-up, and the way to other failure domains. All other routes are placed as before.

The two targets are drawn from the flow's preferred set, which is a random one of its failure domain, so searches still find flows there first. Other failure domains are considered only while one of their targets has the least expected time of all.

--- a/packages/flows/include/burdockstream/flows/Placement.h
+++ b/packages/flows/include/burdockstream/flows/Placement.h
@@ -1,5 +1,6 @@
 // Chooses the target of a new flow: the one with the least estimated load. Pure
 // functions, so that load patterns can be replayed without sockets or clocks.
+// Routes that call for repeated offers use CompletionTime.h instead.
 //
 // The load estimate accounts for these patterns:
 // - Short requests on separate flows: the load is the number of waiting
@@ -19,6 +20,7 @@
 
 #include "burdockstream/base/Random.h"
 
+#include <chrono>
 #include <cstddef>
 #include <cstdint>
 #include <optional>
@@ -27,6 +29,8 @@
 
 namespace burdockstream::flows {
 
+using Milliseconds = std::chrono::duration<double, std::milli>;
+
 // The load of a target that could accept a flow.
 struct Candidate {
   // Identifier defined by the caller, returned by chooseTarget.
@@ -40,6 +44,13 @@
   double Penalty = 0;
   bool Warming = false;
   bool Ejected = false; // it fails requests
+  // The following are used by CompletionTime.h only.
+  uint32_t SlotTimeUs = 0; // mean time of a request in a slot; 0: unknown
+  uint32_t WarmupMs = 0;   // what is left of the warm-up
+  // Additional time to reach the target, compared to one in the balancer's
+  // failure domain. It includes the price of long responses.
+  Milliseconds Distance{0};
+  bool Preferred = true; // see PreferredTargets.h
 };
 
 // Load of an open flow, in requests in progress: a client device sends about
--- a/packages/flows/include/burdockstream/flows/RouteTable.h
+++ b/packages/flows/include/burdockstream/flows/RouteTable.h
@@ -77,6 +77,15 @@
 // safety: any thread.
 bool isNewer(const RouteTable &Candidate, const RouteTable &InForce);
 
+// Returns whether the opening packets of Route are offered repeatedly, see
+// BalancerIdentity::OpeningAttempt: only if a client has the time for a second
+// attempt. Thread safety: any thread.
+inline bool callsForRepeatedOffers(const Route &Route,
+                                   base::Duration OpeningAttempt) {
+  return OpeningAttempt > base::Duration(0) && Route.Time &&
+         Route.Time->ToTimeLimit >= 2 * OpeningAttempt;
+}
+
 // Adds to FormerServices of each route in Newer the current and former services
 // that the same route has in Older and that Newer does not use. Not
 // thread-safe.
--- a/packages/flows/src/FlowBalancer.cpp
+++ b/packages/flows/src/FlowBalancer.cpp
@@ -1,10 +1,26 @@
 #include "burdockstream/flows/FlowBalancer.h"
 
+#include "burdockstream/flows/CompletionTime.h"
+
 #include <algorithm>
 #include <utility>
 
 namespace burdockstream::flows {
 
+namespace {
+
+// Chooses the target of a flow of Route, or nullopt if Choices is empty.
+std::optional<TargetIndex> chooseFor(const Route &Route,
+                                     base::Duration OpeningAttempt,
+                                     std::span<const Candidate> Choices,
+                                     base::RandomSource &Random) {
+  return callsForRepeatedOffers(Route, OpeningAttempt)
+             ? chooseBetterOfTwo(Choices, Random)
+             : chooseTarget(Choices, Random);
+}
+
+} // namespace
+
 bool FlowBalancer::setRoutes(const std::shared_ptr<const RouteTable> &Table,
                              base::TimePoint Now) {
   const bool Newer = !Routes || isNewer(*Table, *Routes);
@@ -115,23 +131,22 @@
   Choices.clear();
   const auto Likely =
       preferredTargets(Targets, Service, Self.FailureDomain, Flow);
-  const auto DistanceTo = [&](TargetIndex Index) {
-    if (Targets.at(Index)->FailureDomain != Self.FailureDomain)
-      return Penalty + NonPreferredPenalty;
-    return std::find(Likely.begin(), Likely.end(), Index) == Likely.end()
-               ? NonPreferredPenalty
-               : 0;
-  };
   const auto Offered = Entry.Offered.begin();
   for (const TargetIndex Index : Targets.ofService(Service)) {
     const Target &Each = *Targets.at(Index);
     if (!acceptsFlows(Each, Now) || std::find(Offered, Offered + Entry.Offers,
                                               Index) != Offered + Entry.Offers)
       continue;
-    Choices.push_back({Index, std::max(Each.Status.Slots, 1U),
-                       Each.Status.Waiting, Each.UnreportedFlows,
-                       Each.Status.Flows, DistanceTo(Index),
-                       Each.Status.WarmupMs > 0, Each.Status.EjectedMs > 0});
+    const bool Remote = Each.FailureDomain != Self.FailureDomain;
+    const bool Preferred =
+        std::find(Likely.begin(), Likely.end(), Index) != Likely.end();
+    Choices.push_back(
+        {Index, std::max(Each.Status.Slots, 1U), Each.Status.Waiting,
+         Each.UnreportedFlows, Each.Status.Flows,
+         (Remote ? Penalty : 0) + (Preferred ? 0 : NonPreferredPenalty),
+         Each.Status.WarmupMs > 0, Each.Status.EjectedMs > 0,
+         Each.Status.SlotTimeUs, Each.Status.WarmupMs,
+         Remote ? remoteDistance(Penalty) : Milliseconds(0), Preferred});
   }
   removeEjected(Choices);
   if (Choices.empty())
@@ -165,7 +180,9 @@
                                                     : RemotePenalty,
                  Now);
   const auto Chosen =
-      Entry.Offers < MaxOffers ? chooseTarget(Choices, Random) : std::nullopt;
+      Entry.Offers < MaxOffers
+          ? chooseFor(Route, Self.OpeningAttempt, Choices, Random)
+          : std::nullopt;
   if (Chosen) {
     Entry.Target = *Chosen;
     Entry.Offered[Entry.Offers++] = *Chosen;
