--- a/packages/flows/include/burdockstream/flows/FlowBalancer.h
+++ b/packages/flows/include/burdockstream/flows/FlowBalancer.h
@@ -275,10 +275,7 @@
   void open(const Packet &Packet, base::TimePoint Now);
   void place(const Packet &Packet, const Route &Route, FlowEntry &Entry,
              base::TimePoint Now);
-  // Fills Choices with the targets of Service that the flow can be offered to.
-  void findCandidates(const FlowKey &Flow, base::ServiceId Service,
-                      const FlowEntry &Entry, double Penalty,
-                      base::TimePoint Now);
+  // Fills Choices with the targets that a flow of Route can be offered to.
   void findCandidates(const FlowKey &Flow, const Route &Route,
                       const FlowEntry &Entry, base::TimePoint Now);
   void placeAt(TargetIndex Index, const Packet &Packet, const Route &Route,
@@ -287,6 +284,7 @@
                     base::TimePoint Now);
   void placeAgain(const Packet &Packet, const Route &Route, FlowEntry &Entry,
                   base::TimePoint Now);
+  std::optional<TargetIndex> chooseFor(const Route &Route);
   std::optional<TargetIndex> chooseAgain(const FlowKey &Flow,
                                          const Route &Route, FlowEntry &Entry,
                                          base::TimePoint Now);
--- a/packages/flows/src/FlowBalancer.cpp
+++ b/packages/flows/src/FlowBalancer.cpp
@@ -1,5 +1,7 @@
 #include "burdockstream/flows/FlowBalancer.h"
 
+#include "burdockstream/flows/CompletionTime.h"
+
 #include <algorithm>
 #include <utility>
 
@@ -115,29 +117,31 @@
   place(Packet, *Route, *Known, Now);
 }
 
-void FlowBalancer::findCandidates(const FlowKey &Flow, base::ServiceId Service,
-                                  const FlowEntry &Entry, double Penalty,
-                                  base::TimePoint Now) {
+void FlowBalancer::findCandidates(const FlowKey &Flow, const Route &Route,
+                                  const FlowEntry &Entry, base::TimePoint Now) {
+  const base::ServiceId Service = chooseService(Route, Flow);
+  const double Penalty = Route.Class == WorkClass::Download
+                             ? RemoteDownloadPenalty
+                             : RemotePenalty;
   Choices.clear();
   const auto Likely =
       preferredTargets(Targets, Service, Self.FailureDomain, Flow);
-  const auto DistanceTo = [&](TargetIndex Index) {
-    if (Targets.at(Index)->FailureDomain != Self.FailureDomain)
-      return Penalty + NonPreferredPenalty;
-    return std::find(Likely.begin(), Likely.end(), Index) == Likely.end()
-               ? NonPreferredPenalty
-               : 0;
-  };
   const auto Offered = Entry.Offered.begin();
   for (const TargetIndex Index : Targets.ofService(Service)) {
     const Target &Each = *Targets.at(Index);
     if (!acceptsFlows(Each, Now) || std::find(Offered, Offered + Entry.Offers,
                                               Index) != Offered + Entry.Offers)
       continue;
-    Choices.push_back({Index, std::max(Each.Status.Slots, 1U),
-                       Each.Status.Waiting, Each.UnreportedFlows,
-                       Each.Status.Flows, DistanceTo(Index),
-                       Each.Status.WarmupMs > 0, Each.Status.EjectedMs > 0});
+    const bool Remote = Each.FailureDomain != Self.FailureDomain;
+    const bool Preferred =
+        std::find(Likely.begin(), Likely.end(), Index) != Likely.end();
+    Choices.push_back(
+        {Index, std::max(Each.Status.Slots, 1U), Each.Status.Waiting,
+         Each.UnreportedFlows, Each.Status.Flows,
+         (Remote ? Penalty : 0) + (Preferred ? 0 : NonPreferredPenalty),
+         Each.Status.WarmupMs > 0, Each.Status.EjectedMs > 0,
+         Each.Status.SlotTimeUs, Each.Status.WarmupMs,
+         Remote ? remoteDistance(Penalty) : Milliseconds(0), Preferred});
   }
   removeEjected(Choices);
   if (Choices.empty())
@@ -160,12 +164,11 @@
   }
 }
 
-void FlowBalancer::findCandidates(const FlowKey &Flow, const Route &Route,
-                                  const FlowEntry &Entry, base::TimePoint Now) {
-  findCandidates(Flow, chooseService(Route, Flow), Entry,
-                 Route.Class == WorkClass::Download ? RemoteDownloadPenalty
-                                                    : RemotePenalty,
-                 Now);
+// Returns one of Choices for a flow of Route, or nullopt if there is none.
+std::optional<TargetIndex> FlowBalancer::chooseFor(const Route &Route) {
+  return repeatsOffers(Self.OpeningAttempt, Route.Time)
+             ? chooseBetterOfTwo(Choices, Random)
+             : chooseTarget(Choices, Random);
 }
 
 void FlowBalancer::place(const Packet &Packet, const Route &Route,
@@ -184,7 +187,7 @@
     return endOpening(Packet, Entry, Now);
   findCandidates(Packet.Flow, Route, Entry, Now);
   const auto Chosen =
-      Entry.Offers < MaxOffers ? chooseTarget(Choices, Random) : std::nullopt;
+      Entry.Offers < MaxOffers ? chooseFor(Route) : std::nullopt;
   if (Chosen)
     return placeAt(*Chosen, Packet, Route, Entry, Now);
   // An offer that was not returned may still succeed.
--- a/packages/flows/src/RepeatedOffers.cpp
+++ b/packages/flows/src/RepeatedOffers.cpp
@@ -42,11 +42,11 @@
   if (Entry.Offers < MaxOffers) {
     findCandidates(Flow, Route, Entry, Now);
     if (!Choices.empty())
-      return chooseTarget(Choices, Random);
+      return chooseFor(Route);
   }
   Entry.Offers = Entry.Refusals = 0;
   findCandidates(Flow, Route, Entry, Now);
-  return chooseTarget(Choices, Random);
+  return chooseFor(Route);
 }
 
 // Ends the client's attempt, so that it can start the next one. A packet that a
