Return a held opening packet to the balancer that sent its last copy

What callers would see: an opening that is not offered again until the client's next copy, after its balancer has died.

Cause: an agent that holds an opening packet ignores further copies of it, and returns it to the balancer of the first one. A balancer that takes over the flow and offers it to the same target never gets an answer.

Change: the packet is returned to the balancer that sent the last copy, since the fabric gives the flow's packets to that one now.

Evidence: RepeatedOffersTest.AnotherBalancerStartsAFirstRound fails before (no further round), passes after. test_flows 209 of 209, test_flowd 26 of 26.

--- a/packages/flows/include/burdockstream/flows/HeldOpenings.h
+++ b/packages/flows/include/burdockstream/flows/HeldOpenings.h
@@ -46,7 +46,8 @@
 // Not thread-safe.
 class HeldOpenings {
 public:
-  // Adds a copy of Packet. Does nothing if a packet of the same flow is held.
+  // Adds a copy of Packet. If a packet of the same flow is held, that one is
+  // returned to Balancer instead.
   void hold(base::SocketAddress Balancer, const FrameHeader &Header,
             const Packet &Packet, base::TimePoint Now);
 
--- a/packages/flows/src/HeldOpenings.cpp
+++ b/packages/flows/src/HeldOpenings.cpp
@@ -23,9 +23,13 @@
 
 void HeldOpenings::hold(base::SocketAddress Balancer, const FrameHeader &Header,
                         const Packet &Packet, base::TimePoint Now) {
-  for (const HeldOpening &Each : Held)
-    if (Each.Stored.flow() == Packet.Flow)
+  for (HeldOpening &Each : Held)
+    if (Each.Stored.flow() == Packet.Flow) {
+      // The fabric gives the flow's packets to this balancer now; the other one
+      // may be gone.
+      Each.Balancer = Balancer;
       return;
+    }
   Held.push_back({Balancer, Header, OwnedPacket(Packet), Now});
 }
 
