End the processes of a soak or an end-to-end test with their parent

Cause: a soak that is aborted does not run the destructors that kill its daemons. They keep running and answer at the addresses of the next soak. Change: a child asks the kernel for SIGKILL at its parent's end before it runs its program. No test covers it.

--- a/testing/e2e/src/Process.cpp
+++ b/testing/e2e/src/Process.cpp
@@ -1,12 +1,23 @@
 #include "Process.h"
 
 #include <csignal>
+#include <cstdlib>
 #include <glog/logging.h>
+#include <sys/prctl.h>
+#include <unistd.h>
 
 namespace burdockstream::e2e {
 
 namespace {
 
+// Runs in the child before its program: the kernel ends it with its parent,
+// also if that is killed.
+void endWithParent(gpointer Parent) {
+  prctl(PR_SET_PDEATHSIG, SIGKILL);
+  if (getppid() != GPOINTER_TO_INT(Parent)) // it has ended already
+    _exit(EXIT_FAILURE);
+}
+
 gboolean setFlag(gpointer Data) {
   *static_cast<bool *>(Data) = true;
   return G_SOURCE_REMOVE;
@@ -35,6 +46,8 @@
     g_subprocess_launcher_set_stdout_file_path(Launcher,
                                                Options.OutputPath.c_str());
   g_subprocess_launcher_set_stderr_file_path(Launcher, Options.LogPath.c_str());
+  g_subprocess_launcher_set_child_setup(Launcher, endWithParent,
+                                        GINT_TO_POINTER(getpid()), nullptr);
   GError *Cause = nullptr;
   Subprocess = g_subprocess_launcher_spawnv(Launcher, Arguments.data(), &Cause);
   g_object_unref(Launcher);
--- a/testing/e2e/src/Process.h
+++ b/testing/e2e/src/Process.h
@@ -1,4 +1,5 @@
-// A child process. It is killed when the object is destroyed.
+// A child process. It is killed when the object is destroyed, or when the
+// starting thread ends.
 #ifndef BURDOCKSTREAM_E2E_PROCESS_H
 #define BURDOCKSTREAM_E2E_PROCESS_H
 
