Soak uneven targets and overload, and check that agents count nothing in the end

The soak could not see a count of ended flows that remains, as agents had lately: its flows never ended, its targets answered at once, and no agent's count was read.

Change: a soak's targets have two slots and take 10 or 40 ms for a request. A new fault opens 800 flows of one request a second for 1.5 s, more than the slots can take; their clients have three attempts. Targets and clients close flows with the exchange of the platform.

--- a/packages/flowd/test/ReportsTest.cpp
+++ b/packages/flowd/test/ReportsTest.cpp
@@ -151,11 +151,14 @@
                                      "searches",
                                      "searches_dropped",
                                      "packets_parked"}
-          : std::vector<std::string>{
-                "heartbeat_age_ms", "requests_waiting",
-                "openings_held",    "slots",
-                "balancers",        "answer_time_seconds_bucket",
-                "evacuated"};
+          : std::vector<std::string>{"heartbeat_age_ms",
+                                     "open_flows",
+                                     "requests_waiting",
+                                     "openings_held",
+                                     "slots",
+                                     "balancers",
+                                     "answer_time_seconds_bucket",
+                                     "evacuated"};
   for (const std::string &Name : Own)
     EXPECT_EQ(Names.count(Name), 1U) << Name;
 }
--- a/packages/flows/include/burdockstream/flows/FlowAgent.h
+++ b/packages/flows/include/burdockstream/flows/FlowAgent.h
@@ -216,6 +216,8 @@
   }
   size_t held() const { return Held.size(); }
   size_t flows() const { return Flows.size(); }
+  // Number of flows that the target holds and has not closed.
+  uint32_t openFlows() const { return OpenFlows; }
   uint32_t slots() const { return Slots; }
   base::Revision newestRoutes() const { return NewestRoutes; }
   const DomainEvacuation &evacuation() const { return Evacuation; }
--- a/testing/flow_soak/src/FlowSoak.cpp
+++ b/testing/flow_soak/src/FlowSoak.cpp
@@ -1,5 +1,6 @@
 #include "FlowSoak.h"
 
+#include "CountsCheck.h"
 #include "Process.h"
 #include "RoutesCheck.h"
 #include "burdockstream/base/Random.h"
@@ -37,6 +38,17 @@
          R"({"name":"b","host":"198.18.0.2","prefix":"/443/","route_type":"download","service":"vault"}]})";
 }
 
+// Time that a request takes at a target. In each service one is slow.
+constexpr milliseconds WorkTime{10};
+constexpr milliseconds SlowWorkTime{40};
+
+// The step of overload opens 400 flows a second of each service. With the
+// requests of the flows that are kept open, about 150 a second, they exceed the
+// rates of both services' slots, 450 and 250 a second.
+constexpr milliseconds OverloadTime{1'500};
+constexpr milliseconds OverloadInterval{50};
+constexpr size_t OverloadFlows = 40;
+
 // A service keeps a target that runs and does not leave.
 constexpr milliseconds TargetDrainTime{1'500};
 constexpr milliseconds TargetAwayTime{500};
@@ -54,6 +66,10 @@
 constexpr milliseconds CalmTime{6'000};
 constexpr int64_t ServedWithinMs = 2'500;
 
+// Until all flows have ended and agents count no packet without an answer.
+constexpr milliseconds FinishTime{4'000};
+constexpr milliseconds MetricsTime{1'000};
+
 class Soak {
 public:
   explicit Soak(const SoakOptions &InitOptions)
@@ -66,7 +82,7 @@
       const bool Shop = isOfShop(I);
       Targets.push_back(std::make_unique<SoakTarget>(
           I, Shop ? "shop" : "vault", Shop ? ShopAddress : VaultAddress,
-          Report.Found));
+          isSlow(I) ? SlowWorkTime : WorkTime, Report.Found));
     }
     for (size_t I = 0; I < Options.Balancers + Options.Agents; ++I)
       Processes.push_back(start(I));
@@ -104,6 +120,7 @@
     Report.Answers = Clients->answers();
     Routes.expectVersion(Version);
     checkEntries();
+    finish();
     for (const guint Source : {Ticks, Beats, Copies, Polls})
       g_source_remove(Source);
     return Report;
@@ -137,6 +154,22 @@
 
   static bool isOfShop(size_t Agent) { return Agent % 5 < 3; }
 
+  static bool isSlow(size_t Agent) { return Agent % 5 == 2 || Agent % 5 == 4; }
+
+  // Ends all flows. Former builds lack some of the gauges that are checked.
+  void finish() {
+    Clients->finish();
+    e2e::runLoopFor(FinishTime);
+    if (const size_t Remaining = Clients->remaining())
+      Report.Found.push_back(std::to_string(Remaining) + " flows do not end");
+    if (!Options.OtherProgram.empty())
+      return;
+    CountsCheck Counts(Options.Agents, Report.Found);
+    Counts.poll();
+    e2e::runLoopFor(MetricsTime);
+    Counts.expectNone();
+  }
+
   void checkEntries() {
     for (size_t I = 0; I < Options.Agents; ++I)
       if (!Store.has(flowd::formatEntryKey(place(2, I, DataPort))))
@@ -234,10 +267,15 @@
     });
   }
 
+  void overload() {
+    for (milliseconds Delay{0}; Delay < OverloadTime; Delay += OverloadInterval)
+      later(Delay, [this] { Clients->openShort(OverloadFlows); });
+  }
+
   void inject() {
     const size_t Index = below(Processes.size());
     const uint64_t Pause = 100 + below(LongestPauseMs - 100);
-    const uint64_t Kind = below(13);
+    const uint64_t Kind = below(14);
     Report.Faults.push_back(std::to_string(g_get_real_time() / 1000) +
                             " kind " + std::to_string(Kind) + ", process " +
                             std::to_string(Index) + ", " +
@@ -281,6 +319,8 @@
         later(I * ConfigGap,
               [this] { Store.put("op/config", routes(++Version)); });
       return;
+    case 12:
+      return overload();
     default:
       ++Rotation; // the fabric moves all flows to other balancers
     }
--- a/testing/flow_soak/src/SoakParts.h
+++ b/testing/flow_soak/src/SoakParts.h
@@ -8,11 +8,14 @@
 #include "burdockstream/http/HttpServer.h"
 #include "burdockstream/network/UdpSocket.h"
 
+#include <array>
+#include <chrono>
 #include <functional>
 #include <map>
 #include <memory>
 #include <set>
 #include <string>
+#include <unordered_map>
 #include <vector>
 
 namespace burdockstream::flowsoak {
@@ -38,11 +41,17 @@
 // packets in the sockets of a loaded machine.
 inline constexpr int64_t DrainBoundMs = 1'000;
 
-// A target that holds flows and answers each request with its own bytes.
+// Number of the last request of a flow. The target closes the flow with its
+// answer, and acknowledges the client's end that follows.
+inline constexpr uint32_t LastRequest = 1U << 20;
+
+// A target that holds flows and answers each request with its own bytes. A
+// request occupies one of its slots for the target's work time.
 class SoakTarget {
 public:
   SoakTarget(size_t Index, std::string InitService,
-             base::SocketAddress InitServiceAddress, Violations &InitFound);
+             base::SocketAddress InitServiceAddress,
+             std::chrono::milliseconds InitWorkTime, Violations &InitFound);
   void beat();
   // Says from now on that it leaves. It keeps its flows and still accepts.
   void drain() { Draining = true; }
@@ -56,33 +65,55 @@
   bool holds(const flows::FlowKey &Flow) const { return Held.count(Flow) != 0; }
 
 private:
+  static constexpr size_t Slots = 2;
+  // Numbers of requests. A client sends one after the other.
+  struct HeldFlow {
+    uint32_t Taken = 0; // the last that work was started for
+    uint32_t Answered = 0;
+  };
+
   void onPacket(std::span<uint8_t> Bytes);
+  void serve(const flows::Packet &Packet, uint32_t Request);
+  void startWork(const flows::FlowKey &Flow, uint32_t Request);
+  void send(const flows::FlowKey &Flow, uint8_t Flags, uint32_t Request);
   // In the answers to opening packets; another one for each target.
   uint32_t sequence() const { return static_cast<uint32_t>(Index + 1); }
 
   size_t Index;
   std::string Service;
   base::SocketAddress ServiceAddress;
+  std::chrono::milliseconds WorkTime;
   Violations &Found;
   flows::PacketCodec Codec;
   std::unique_ptr<network::UdpSocket> Socket;
   http::HttpServer Health;
   http::HttpClient Client;
-  using FlowSet = std::set<flows::FlowKey, bool (*)(const flows::FlowKey &,
-                                                    const flows::FlowKey &)>;
-  FlowSet Accepted; // opening packets
-  FlowSet Held;
+  using FlowOrder = bool (*)(const flows::FlowKey &, const flows::FlowKey &);
+  std::set<flows::FlowKey, FlowOrder> Accepted; // opening packets
+  std::map<flows::FlowKey, HeldFlow, FlowOrder> Held;
+  std::array<int64_t, Slots> SlotFreeAtMs{};
   uint64_t Sequence = 0;
   int64_t Born = 0;
   bool Running = true;
   bool Draining = false;
   int64_t DrainAckedAtMs = 0; // 0: not acknowledged
+  std::shared_ptr<int> LifetimeToken = std::make_shared<int>(0);
 };
 
-// One client that keeps a flow open and sends a request after the other.
+enum class SoakFlowState : uint8_t {
+  Opening,
+  Open,
+  Closing, // the target has closed it and has not acknowledged the client's end
+  Ended,
+};
+
+// One client that keeps a flow open and sends a request after the other, or,
+// if Short, opens a flow for one request.
 struct SoakFlow {
   flows::FlowKey Key;
-  bool Open = false;
+  SoakFlowState State = SoakFlowState::Opening;
+  bool Short = false;
+  int Attempts = 0; // at opening it
   int Copies = 0;
   int64_t SentAtMs = 0;
   int64_t WaitMs = 200;
@@ -100,12 +131,27 @@
       std::function<bool(const flows::FlowKey &)> InitIsHeld,
       Violations &InitFound);
   void tick();
-  // Flows without an answer in the last Ms.
+  // Opens Count flows of one request each.
+  void openShort(size_t Count);
+  // Ends all flows: open ones after one more request, others at once.
+  void finish();
+  // Flows that are kept open and had no answer in the last Ms.
   size_t unserved(int64_t Ms) const;
+  // Flows that have not ended.
+  size_t remaining() const;
   uint64_t answers() const { return Answers; }
 
 private:
+  static constexpr uint16_t FirstPort = 1025;
+
+  void add(size_t Index, bool Short);
   void reopen(SoakFlow &Flow);
+  void retry(SoakFlow &Flow);
+  void tickOpening(SoakFlow &Flow);
+  void tickOpen(SoakFlow &Flow);
+  void sendEnd(SoakFlow &Flow);
+  void onReset(SoakFlow &Flow);
+  void onAnswer(SoakFlow &Flow, const flows::Packet &Packet, uint32_t Request);
   void send(const SoakFlow &Flow, uint8_t Flags, uint32_t Acknowledged,
             uint32_t Request);
   void onPacket(std::span<uint8_t> Bytes);
@@ -117,7 +163,9 @@
   flows::PacketCodec Codec;
   std::unique_ptr<network::UdpSocket> Socket;
   std::vector<SoakFlow> Flows;
-  uint16_t NextPort = 1024;
+  std::unordered_map<uint16_t, size_t> IndexByPort; // of the client
+  uint16_t LastPort = FirstPort - 1;
+  bool Finishing = false;
   uint64_t Answers = 0;
 };
 
--- a/testing/platform_standin/include/burdockstream/testing/PlatformPacketWriter.h
+++ b/testing/platform_standin/include/burdockstream/testing/PlatformPacketWriter.h
@@ -14,6 +14,7 @@
 
 inline constexpr uint8_t SynFlag = 8;
 inline constexpr uint8_t AckFlag = 16;
+inline constexpr uint8_t FinFlag = 32;
 
 struct PacketText {
   base::SocketAddress From;
