--- a/packages/flowd/test/ReportsTest.cpp
+++ b/packages/flowd/test/ReportsTest.cpp
@@ -153,11 +153,14 @@
                                      "packets_parked",
                                      "offers_total",
                                      "openings_unserved_total"}
-          : std::vector<std::string>{
-                "heartbeat_age_ms", "requests_waiting",
-                "openings_held",    "slots",
-                "balancers",        "answer_time_seconds_bucket",
-                "evacuated"};
+          : std::vector<std::string>{"heartbeat_age_ms",
+                                     "open_flows",
+                                     "requests_waiting",
+                                     "openings_held",
+                                     "slots",
+                                     "balancers",
+                                     "answer_time_seconds_bucket",
+                                     "evacuated"};
   for (const std::string &Name : Own)
     EXPECT_EQ(Names.count(Name), 1U) << Name;
 }
