Drop the held copy of an opening packet when a further copy is delivered

Cause: an agent that holds a copy of an opening packet may deliver a further copy directly. The held one stayed, was returned as busy up to 150 ms later, and the balancer, whose last offer it was, reset the flow.

Ruled out: the fabric had not moved the flow; the balancer's own count of offers was right, since each copy had been answered.

Change: the delivery of a flow's opening packet drops what is held of it.

--- a/packages/flows/include/burdockstream/flows/HeldOpenings.h
+++ b/packages/flows/include/burdockstream/flows/HeldOpenings.h
@@ -51,6 +51,9 @@
   void hold(base::SocketAddress Balancer, const FrameHeader &Header,
             const Packet &Packet, base::TimePoint Now);
 
+  // Removes the packet of Flow, if one is held.
+  void erase(const FlowKey &Flow);
+
   // Removes and returns the next packet for a target with Load, or nullopt if
   // the target admits none. Order: by urgency, on-time before late; then
   // non-idempotent requests, which a client cannot repeat; then the newest.
--- a/packages/flows/src/AgentOpenings.cpp
+++ b/packages/flows/src/AgentOpenings.cpp
@@ -71,6 +71,7 @@
   FlowRecord &Record = Flows.insert(Packet.Flow);
   Record.Class = static_cast<WorkClass>(
       std::min<size_t>(Header.WorkClass, WorkClasses - 1));
+  Held.erase(Packet.Flow);
   NotHeld.erase(Packet.Flow);
   ResetByClient.erase(Packet.Flow);
   recordOpening(Record, Packet.Flow, Now);
--- a/packages/flows/src/HeldOpenings.cpp
+++ b/packages/flows/src/HeldOpenings.cpp
@@ -33,6 +33,12 @@
   Held.push_back({Balancer, Header, OwnedPacket(Packet), Now});
 }
 
+void HeldOpenings::erase(const FlowKey &Flow) {
+  std::erase_if(Held, [&](const HeldOpening &Each) {
+    return Each.Stored.flow() == Flow;
+  });
+}
+
 std::optional<HeldOpening> HeldOpenings::takeNext(const TargetLoad &Load,
                                                   base::TimePoint Now) {
   auto Next = Held.rend();
--- a/packages/flows/test/HeldOpeningsTest.cpp
+++ b/packages/flows/test/HeldOpeningsTest.cpp
@@ -95,6 +95,32 @@
   EXPECT_TRUE(Sim.Resets.empty());
 }
 
+// Guards against the return of a held copy of a flow that the target has
+// accepted since: its balancer would reset the open flow.
+TEST_F(HeldOpeningsTest, ADeliveredCopyLeavesNoHeldOne) {
+  target().Unresponsive = true;
+  for (uint16_t Port = 1; Port <= Slots; ++Port)
+    Sim.openAndRequest(0, Simulation::flow(Port));
+  FrameHeader Header;
+  Header.Service = base::serviceIdOf(Shop);
+  Header.Routes = 10;
+  const auto Deliver = [&](uint32_t Copy, std::optional<RequestTime> Time) {
+    Packet Value;
+    Value.Flow = Simulation::flow(1001);
+    Value.Opens = true;
+    Value.Acknowledged = Copy;
+    Header.Time = Time;
+    agent().onFrame(Sim.Balancers[0].Address, Header, Sim.Registry.write(Value),
+                    Sim.Now);
+  };
+  Deliver(0, RequestTime{milliseconds(0), seconds(1)}); // late
+  ASSERT_EQ(agent().held(), 1U);
+  Deliver(1, std::nullopt); // from a balancer that states no deadlines
+  EXPECT_EQ(agent().held(), 0U);
+  Sim.run(MaxHoldTime + 2 * Tick);
+  EXPECT_EQ(Sim.count(DecisionKind::NotDelivered), 0U);
+}
+
 // Guards against a missing reset for a client that no target can serve.
 TEST_F(HeldOpeningsTest, IsRefusedIfNobodyHasRoom) {
   Sim.run(seconds(1));
