Do not reset an opening that another balancer may have received a copy of

Cause: a balancer knew that a flow may be open elsewhere only if the first copy of its opening packet had not arrived there. A flow that is taken from it after the first copy was reset once all offers had been returned.

Ruled out: the agent (it held the flow); a lost answer (the last offer had been returned as busy).

Change: a balancer records which copies have arrived, and resets an opening only if none is missing by the client's schedule, which the platform's packet codec states. Otherwise it stays silent, and the client's copy or its next attempt goes on. Without a schedule all is as before.

--- a/packages/flows/include/burdockstream/flows/FlowBalancer.h
+++ b/packages/flows/include/burdockstream/flows/FlowBalancer.h
@@ -81,12 +81,11 @@
 
 struct BalancerIdentity {
   std::string FailureDomain;
-  base::SocketAddress Control;       // serves the routes to peers
-  size_t PacketHeaderBytes = 0;      // see PacketCodec::HeaderBytes
-  double LinkBytesPerSecond = 125e6; // bandwidth of the VM's link
-  // How long a client waits for the acceptance of a flow before it tries again
-  // with another one; 0: offers are not repeated.
-  base::Duration OpeningAttempt{0};
+  base::SocketAddress Control;                // serves the routes to peers
+  size_t PacketHeaderBytes = 0;               // see PacketCodec::HeaderBytes
+  double LinkBytesPerSecond = 125e6;          // bandwidth of the VM's link
+  base::Duration OpeningAttempt{0};           // see OfferPolicy.h
+  std::vector<base::Duration> CopyTimes = {}; // see PacketCodec::CopyTimes
 };
 
 // Interval between hellos to an agent with a subscription.
--- a/packages/flows/include/burdockstream/flows/Packet.h
+++ b/packages/flows/include/burdockstream/flows/Packet.h
@@ -77,6 +77,9 @@
   // its sequence number.
   std::function<std::vector<uint8_t>(const FlowKey &, uint32_t Sequence)>
       MakeReset;
+  // When a client sends the copies of an opening packet, after the first one;
+  // the first time is 0.
+  std::vector<base::Duration> CopyTimes;
   // Length of a packet header, which is enough to identify the flow.
   size_t HeaderBytes = 0;
 };
--- a/packages/flows/src/FlowBalancer.cpp
+++ b/packages/flows/src/FlowBalancer.cpp
@@ -109,6 +109,8 @@
     // accepted it.
     Known->MayBeOpen = Packet.Acknowledged != 0;
   }
+  if (!Replaying)
+    Known->recordCopy(Packet.Acknowledged);
   // The client may have reused the port, or the entry may come from a search,
   // so a new packet sets the time again. A replayed packet keeps its time,
   // because its return by a target does not make it newer.
@@ -179,7 +181,7 @@
   const bool Repeats = repeatsOffers(Self.OpeningAttempt, Route.Time);
   if (Repeats && Entry.FurtherRounds > 0)
     return placeAgain(Packet, Route, Entry, Now);
-  if (Repeats && !Entry.MayBeOpen && !Entry.hasPendingOffer() &&
+  if (Repeats && !Entry.mayBeOpen(Self.CopyTimes, Now) &&
       expiresBeforeService(
           Entry.progress(Now,
                          expectedWait(chooseService(Route, Packet.Flow), Now)),
@@ -221,7 +223,7 @@
 void FlowBalancer::refuseOrPark(const Packet &Packet, const Route &Route,
                                 FlowEntry &Entry, base::TimePoint Now) {
   const base::ServiceId Service = chooseService(Route, Packet.Flow);
-  if (!Entry.MayBeOpen && isSettled(Now) &&
+  if (!Entry.mayBeOpen(Self.CopyTimes, Now) && isSettled(Now) &&
       isCaughtUp(ViewPart::Agents, ArrivedAt - RefusalViewAge, Now))
     return refuse(Packet, DecisionKind::RefusedNoTarget,
                   Targets.ofService(Service).size());
--- a/packages/flows/src/RepeatedOffers.cpp
+++ b/packages/flows/src/RepeatedOffers.cpp
@@ -54,7 +54,7 @@
 void FlowBalancer::endOpening(const Packet &Packet, const FlowEntry &Entry,
                               base::TimePoint Now) {
   ++Counters.Unserved;
-  if (Entry.MayBeOpen || Entry.hasPendingOffer())
+  if (Entry.mayBeOpen(Self.CopyTimes, Now))
     return reportDecision(DecisionKind::GivenUp, Packet.Flow, Entry.Target, 0,
                           Now);
   refuse(Packet, DecisionKind::RefusedBusy, Entry.Offers);
--- a/packages/flows/test/FlowFixture.cpp
+++ b/packages/flows/test/FlowFixture.cpp
@@ -104,7 +104,7 @@
   };
   return std::make_unique<FlowBalancer>(
       BalancerIdentity{Domains[Index], Own, sizeof(uint32_t),
-                       LinkBytesPerSecond, OpeningAttempt},
+                       LinkBytesPerSecond, OpeningAttempt, CopyTimes},
       Hooks, base::RandomSource(20261204 + Index));
 }
 
--- a/packages/flows/test/FlowFixture.h
+++ b/packages/flows/test/FlowFixture.h
@@ -139,6 +139,7 @@
   // For balancers created from now on.
   double LinkBytesPerSecond = 125e6;
   base::Duration OpeningAttempt{0};
+  std::vector<base::Duration> CopyTimes;
   PacketRegistry Registry;
   base::TimePoint Now = base::TimePoint(std::chrono::seconds(100));
 
--- a/packages/flows/test/RepeatedOffersTest.cpp
+++ b/packages/flows/test/RepeatedOffersTest.cpp
@@ -261,6 +261,32 @@
   EXPECT_GE(counters(1).FurtherRounds, 1U);
 }
 
+// Guards against the reset of an open flow by a balancer that the fabric has
+// taken the flow from: another balancer's copy was accepted meanwhile.
+TEST_F(RepeatedOffersTest, ACopyThatWentElsewhereIsNotReset) {
+  Sim.CopyTimes = {milliseconds(0), milliseconds(200), milliseconds(600)};
+  start();
+  fillTargets();
+  Sim.open(0, New);
+  Sim.run(Attempt); // without a further copy at this balancer
+  EXPECT_TRUE(Sim.Resets.empty());
+  EXPECT_EQ(Sim.count(DecisionKind::GivenUp), 1U);
+}
+
+// The reverse: a client whose copies have all arrived here gets its answer.
+TEST_F(RepeatedOffersTest, AnOpeningWithAllItsCopiesIsReset) {
+  Sim.CopyTimes = {milliseconds(0), milliseconds(200), milliseconds(600)};
+  start();
+  fillTargets();
+  Sim.open(0, New);
+  Sim.run(milliseconds(200));
+  Sim.open(0, New, 1, milliseconds(200));
+  Sim.run(milliseconds(400));
+  Sim.open(0, New, 2, milliseconds(600));
+  Sim.run(Attempt - milliseconds(600));
+  EXPECT_EQ(Sim.Resets.size(), 1U);
+}
+
 // Guards against a reset of an opening that a silent agent may have delivered,
 // and against copies that are offered to it only.
 TEST_F(RepeatedOffersTest, ADeadAgentIsPassedOverOnceItsStatusIsStale) {
