Keep exact account of the offers of an opening packet

Found in a review by one who had not written the part; not seen by callers.

- An opening that was parked before the balancer had an entry of it never counted as seen, so that it was kept silent in place of being refused, on any route (AnOpeningBeforeTheRoutesCountsAsSeen fails before).
- Returns were counted, not attributed: a second return of one target passed for the answer of another, which may accept the flow that is then reset (EachTargetReturnsItsOwnOffer).
- A copy that is sent to a target may cross the return of an earlier one, and be accepted after it.
The flow may be open then (ACopyThatCrossesAReturnMayBeAccepted).
AnOpeningWithAllItsCopiesIsReset now sends its last copy after 500 ms, where it does not cross a return.
- Rounds that began late followed each other at once; now at most one offer is made in 150 ms, also then.

--- a/packages/flows/include/burdockstream/flows/FlowBalancer.h
+++ b/packages/flows/include/burdockstream/flows/FlowBalancer.h
@@ -213,9 +213,8 @@
   // Returns whether routes are known and some agent has sent a recent status.
   bool canServe(base::TimePoint Now) const;
 
-  // Returns the time until a slot of Service is free for a new opening, from
-  // the statuses of its targets, or nullopt if they do not show it. Takes one
-  // pass over the targets of Service; see ServiceCapacity.h.
+  // Returns the time until a new opening of Service that can be on time gets a
+  // slot, or nullopt if the view does not show it; see ServiceCapacity.h.
   std::optional<base::Duration> expectedWait(base::ServiceId Service,
                                              base::TimePoint Now) const;
 
@@ -287,6 +286,8 @@
   std::optional<TargetIndex> chooseAgain(const FlowKey &Flow,
                                          const Route &Route, FlowEntry &Entry,
                                          base::TimePoint Now);
+  void offerCopy(const Packet &Packet, const Route &Route, FlowEntry &Entry,
+                 base::TimePoint Now);
   void endOpening(const Packet &Packet, const FlowEntry &Entry,
                   base::TimePoint Now);
   void offer(const Packet &Packet, const FlowEntry &Entry, const Route &Route,
--- a/packages/flows/include/burdockstream/flows/OfferPolicy.h
+++ b/packages/flows/include/burdockstream/flows/OfferPolicy.h
@@ -25,8 +25,8 @@
 inline constexpr size_t MaxOffers = 4;
 
 // Offers are repeated on routes with a timeout of at least this many attempts
-// of a client. With less time, a client whose attempt was retained has none
-// left for another one.
+// of a client. With a shorter timeout, a client whose first attempt is kept
+// until its end could not finish a second one.
 inline constexpr int64_t MinAttemptsInTimeout = 2;
 
 // Maximum number of further rounds of an opening packet; its flow entry counts
@@ -41,11 +41,12 @@
   // How long a new request of the service waits before it is served; nullopt if
   // unknown.
   std::optional<base::Duration> ExpectedWait;
+  base::Duration SinceLastOffer = base::Duration::max();
 };
 
 enum class RoundStep : uint8_t {
   Start,  // offer the packet now
-  Wait,   // the last round has started too recently
+  Wait,   // the last offer is too recent, or too many were made
   Refuse, // the attempt ends, or the timeout expires, before it can be served
 };
 
@@ -53,7 +54,7 @@
 struct OfferCounters {
   uint64_t FirstRound = 0;
   uint64_t FurtherRounds = 0;
-  // Attempts on routes with repeated offers that the balancer ended.
+  // Openings ended as RefusedBusy, or as GivenUp at the end of the attempt.
   uint64_t Unserved = 0;
 };
 
--- a/packages/flows/src/FlowBalancer.cpp
+++ b/packages/flows/src/FlowBalancer.cpp
@@ -109,7 +109,7 @@
     // accepted it.
     Known->MayBeOpen = Packet.Acknowledged != 0;
   }
-  if (!Replaying)
+  if (!Replaying || Known->CopiesSeen == 0)
     Known->recordCopy(Packet.Acknowledged);
   // The client may have reused the port, or the entry may come from a search,
   // so a new packet sets the time again. A replayed packet keeps its time,
@@ -194,8 +194,9 @@
     return placeAt(*Chosen, Packet, Route, Entry, Now);
   // An offer that was not returned may still succeed.
   if (Entry.hasPendingOffer()) {
+    Entry.Target = Entry.pendingTarget();
     if (Targets.at(Entry.Target))
-      offer(Packet, Entry, Route, Now);
+      offerCopy(Packet, Route, Entry, Now);
     return;
   }
   if (Repeats && Entry.Offers > 0)
@@ -206,8 +207,7 @@
 void FlowBalancer::placeAt(TargetIndex Index, const Packet &Packet,
                            const Route &Route, FlowEntry &Entry,
                            base::TimePoint Now) {
-  Entry.Target = Index;
-  Entry.Offered[Entry.Offers++] = Index;
+  Entry.recordOffer(Index, Now);
   ++Targets.at(Index)->UnreportedFlows;
   ++(Entry.FurtherRounds > 0 ? Counters.FurtherRounds : Counters.FirstRound);
   offer(Packet, Entry, Route, Now);
@@ -228,7 +228,7 @@
     return refuse(Packet, DecisionKind::RefusedNoTarget,
                   Targets.ofService(Service).size());
   // The next attempt considers all targets again.
-  Entry.Offers = Entry.Refusals = 0;
+  Entry.forgetOffers();
   park(Packet, ParkReason::RoutesOrTarget);
   reportDecision(DecisionKind::Unsettled, Packet.Flow, NoTarget,
                  Targets.ofService(Service).size(), Now);
@@ -352,7 +352,7 @@
     return Result;
   Result.Known = true;
   Result.Offers = Entry->Offers;
-  Result.Refusals = Entry->Refusals;
+  Result.Refusals = Entry->refusals();
   if (const Target *Holder = Targets.at(Entry->Target))
     Result.Agent = Holder->Agent;
   return Result;
--- a/packages/flows/src/OfferPolicy.cpp
+++ b/packages/flows/src/OfferPolicy.cpp
@@ -29,11 +29,12 @@
       expiresBeforeService(Progress, Timeout))
     return RoundStep::Refuse;
   // A target that refuses the flow, instead of holding it, returns it at once.
-  // The number of rounds is bounded by the time since the first copy, so that
-  // such targets do not cause a loop of offers.
+  // Such targets must not cause a loop of offers.
   const base::Duration Earliest = MaxHoldTime * (Progress.FurtherRounds + 1);
-  return Progress.SinceFirstCopy < Earliest ? RoundStep::Wait
-                                            : RoundStep::Start;
+  return Progress.SinceFirstCopy < Earliest ||
+                 Progress.SinceLastOffer < MaxHoldTime
+             ? RoundStep::Wait
+             : RoundStep::Start;
 }
 
 } // namespace burdockstream::flows
--- a/packages/flows/src/RepeatedOffers.cpp
+++ b/packages/flows/src/RepeatedOffers.cpp
@@ -13,15 +13,13 @@
   // The agent may hold the packet, or its answer was lost. The silence of an
   // agent without a subscription carries no information.
   if (Pending && Last && (!Last->Subscribed || acceptsFlows(*Last, Now)))
-    return offer(Packet, Entry, Route, Now);
+    return offerCopy(Packet, Route, Entry, Now);
   const RoundStep Step = nextRound(
       Entry.progress(Now, expectedWait(chooseService(Route, Packet.Flow), Now)),
       Self.OpeningAttempt, Route.Time->ToTimeLimit);
   if (Step == RoundStep::Refuse)
     return endOpening(Packet, Entry, Now);
-  // An agent that has gone silent may have delivered the packet.
-  Entry.MayBeOpen = Entry.MayBeOpen || Pending;
-  Entry.Refusals = Entry.Offers;
+  Entry.giveUpPendingOffers(); // of an agent that has gone silent
   FlowEntry Next = Entry;
   const auto Chosen = chooseAgain(Packet.Flow, Route, Next, Now);
   if (!Chosen)
@@ -44,11 +42,19 @@
     if (!Choices.empty())
       return chooseFor(Route);
   }
-  Entry.Offers = Entry.Refusals = 0;
+  Entry.forgetOffers();
   findCandidates(Flow, Route, Entry, Now);
   return chooseFor(Route);
 }
 
+// Sends a further copy to the target of a pending offer.
+void FlowBalancer::offerCopy(const Packet &Packet, const Route &Route,
+                             FlowEntry &Entry, base::TimePoint Now) {
+  if (repeatsOffers(Self.OpeningAttempt, Route.Time))
+    Entry.recordCopyOffer(Now);
+  offer(Packet, Entry, Route, Now);
+}
+
 // Ends the client's attempt, so that it can start the next one. A packet that a
 // target may have accepted is not reset.
 void FlowBalancer::endOpening(const Packet &Packet, const FlowEntry &Entry,
