Refuse by capacity only what an opening on time would wait for

Found in a review. The expected wait that leads to a refusal counted late held openings, which agents deliver after those on time, so it refused openings that would have been served next; and it was used before the list of agents was settled, when targets that are about to return are missing.

Change: the wait for a refusal counts the work that statuses report as waiting, and needs a settled view. Gauges still show all work ahead. Latency targets of the reports follow each change of the routes, also one that keeps its revision.

--- a/packages/flowd/src/CapacityReports.cpp
+++ b/packages/flowd/src/CapacityReports.cpp
@@ -47,18 +47,18 @@
   }
 }
 
-void CapacityReports::readRoutes(const flows::RouteTable *Routes) {
-  if (!Routes || Routes->Revision == RoutesRevision)
+void CapacityReports::readRoutes(const flows::FlowBalancer &Core) {
+  if (!Core.routes() || Core.routesSince() == RoutesSince)
     return;
-  RoutesRevision = Routes->Revision;
-  LatencyTargets = flows::latencyTargets(*Routes);
+  RoutesSince = Core.routesSince();
+  LatencyTargets = flows::latencyTargets(*Core.routes());
 }
 
 void CapacityReports::update(const flows::FlowBalancer &Core, base::Now Now) {
   if (Now.Monotonic < NextUpdate)
     return;
   NextUpdate = Now.Monotonic + CapacityInterval;
-  readRoutes(Core.routes());
+  readRoutes(Core);
   nameServices(Core.targets());
   for (auto &[Id, Known] : Services) {
     Known.Capacity = capacityOf(Core.targets(), Id, Now.Monotonic);
--- a/packages/flowd/src/CapacityReports.h
+++ b/packages/flowd/src/CapacityReports.h
@@ -1,6 +1,9 @@
 // Reports the capacity of each service to operators: gauges, a section of the
 // daemon's report, and a log line when a service becomes short of capacity or
 // is no longer short.
+//
+// Load pattern: requests exceed the rate of a service's targets for seconds or
+// longer, which no single process could tell before.
 #ifndef BURDOCKSTREAM_FLOWD_CAPACITYREPORTS_H
 #define BURDOCKSTREAM_FLOWD_CAPACITYREPORTS_H
 
@@ -20,7 +23,8 @@
 inline constexpr int64_t UnknownTimeMs = -1;
 
 // Interval between estimates, that of statuses of other failure domains. An
-// estimate takes about 1 us for each service, and there may be thousands.
+// estimate takes about 1 us for a service of 60 targets, and there may be
+// thousands of services.
 inline constexpr base::Duration CapacityInterval =
     std::chrono::milliseconds(250);
 
@@ -61,7 +65,7 @@
     int64_t ExpectedToLastMs = 0;
   };
 
-  void readRoutes(const flows::RouteTable *Routes);
+  void readRoutes(const flows::FlowBalancer &Core);
   void nameServices(const flows::TargetTable &Targets);
   Values valuesOf(base::ServiceId Id, const Service &Known,
                   base::TimePoint Now) const;
@@ -75,7 +79,7 @@
   flows::ShortageMonitor Monitor;
   std::map<base::ServiceId, Service> Services;
   base::TimePoint NextUpdate{};
-  base::Revision RoutesRevision = 0; // that LatencyTargets are of
+  base::TimePoint RoutesSince{}; // of the routes that LatencyTargets are of
   std::unordered_map<base::ServiceId, base::Duration> LatencyTargets;
 };
 
--- a/packages/flows/include/burdockstream/flows/ServiceCapacity.h
+++ b/packages/flows/include/burdockstream/flows/ServiceCapacity.h
@@ -5,9 +5,9 @@
 // Load pattern: part of the targets fails at peak load, or load rises above the
 // rate of all targets. Each opening packet is then offered to busy targets and
 // the clients repeat it, while no process knows how long the backlog will last.
-// The backlog of the service divided by its rate is the time that a new opening
-// has to wait. Where statuses are missing, both lack the same targets, so the
-// quotient stays valid.
+// The requests beyond those that occupy a slot, divided by the rate, are the
+// time that a new opening has to wait. Where statuses are missing, both lack
+// the same targets, so the quotient stays valid.
 #ifndef BURDOCKSTREAM_FLOWS_SERVICECAPACITY_H
 #define BURDOCKSTREAM_FLOWS_SERVICECAPACITY_H
 
@@ -32,13 +32,16 @@
 struct ServiceCapacity {
   double RatePerSecond = 0; // requests that the targets can finish now
   uint32_t WorkAhead = 0;   // requests in progress, waiting and held
+  // Part of WorkAhead that a new opening on time waits for: agents deliver it
+  // before held openings that will be late.
+  uint32_t WorkBeforeNew = 0;
   uint32_t Slots = 0;
   uint32_t Targets = 0; // that the estimate covers
   uint32_t Warming = 0; // of these, still warming up
   // Mean time that a request occupies a slot, weighted by rate.
   base::Duration SlotTime{0};
   // Time until the targets have started the work ahead, so that a slot is free
-  // for a new opening. A shortage lasts at least this long.
+  // for a new opening.
   base::Duration ExpectedWait{0};
 };
 
@@ -114,7 +117,7 @@
 
   // Returns how long the shortage of Service is expected to last if the load
   // stays as it was during ShortageTrendWindow. Returns nullopt if the service
-  // is not short, or if its expected wait does not fall.
+  // is not short, or not expected to end it within MaxShortageForecast.
   std::optional<base::Duration> expectedToLast(base::ServiceId Service) const;
 
 private:
--- a/packages/flows/src/BalancerCapacity.cpp
+++ b/packages/flows/src/BalancerCapacity.cpp
@@ -2,14 +2,21 @@
 #include "burdockstream/flows/FlowBalancer.h"
 #include "burdockstream/flows/ServiceCapacity.h"
 
+#include <algorithm>
+
 namespace burdockstream::flows {
 
 std::optional<base::Duration>
 FlowBalancer::expectedWait(base::ServiceId Service, base::TimePoint Now) const {
-  const auto Capacity = capacityOf(Targets, Service, Now);
+  // Targets that the list or a status will add soon are not counted yet.
+  const auto Capacity =
+      isSettled(Now) ? capacityOf(Targets, Service, Now) : std::nullopt;
   if (!Capacity)
     return std::nullopt;
-  return Capacity->ExpectedWait;
+  const double Waiting = Capacity->WorkBeforeNew;
+  const std::chrono::duration<double> Wait(
+      std::max(Waiting - Capacity->Slots, 0.0) / Capacity->RatePerSecond);
+  return std::chrono::round<base::Duration>(Wait);
 }
 
 } // namespace burdockstream::flows
--- a/packages/flows/src/ServiceCapacity.cpp
+++ b/packages/flows/src/ServiceCapacity.cpp
@@ -27,6 +27,7 @@
 struct Member {
   uint32_t Slots = 1;
   uint32_t Work = 0;
+  uint32_t Waiting = 0; // of Work, without late held openings
   base::Duration WarmupLeft{0};
   // Time per request after the warm-up; 0: unknown.
   double SlotSeconds = 0;
@@ -51,6 +52,7 @@
   Member Result;
   Result.Slots = std::max(Status.Slots, 1U);
   Result.Work = workAt(Status, Result.Slots);
+  Result.Waiting = Status.Waiting;
   Result.WarmupLeft =
       std::chrono::milliseconds(Status.WarmupMs) - (Now - Each.LastStatusAt);
   Result.SlotSeconds =
@@ -132,6 +134,7 @@
   for (const Member &Each : Members) {
     Result.RatePerSecond += Each.rate();
     Result.WorkAhead += Each.Work;
+    Result.WorkBeforeNew += Each.Waiting;
     Result.Slots += Each.Slots;
     Result.Warming += Each.isWarming() ? 1 : 0;
     ++Result.Targets;
--- a/packages/flows/test/ServiceCapacityTest.cpp
+++ b/packages/flows/test/ServiceCapacityTest.cpp
@@ -160,13 +160,20 @@
   EXPECT_NEAR(waitMs(), 450, 1);
 }
 
-// Guards against a balancer that concludes from other data than its statuses.
+// Guards against a balancer that concludes from other data than its statuses,
+// or before its list of agents is settled.
 TEST(BalancerCapacityTest, StatesTheExpectedWait) {
   Simulation Sim;
   FlowBalancer &Core = *Sim.Balancers[Sim.addBalancer()].Core;
   EXPECT_EQ(Core.expectedWait(ShopId, Sim.Now), std::nullopt);
   for (uint32_t Agent : {1, 2})
     Core.onStatus({Agent, 7000}, status(30'000, 32), Sim.Now);
+  EXPECT_EQ(Core.expectedWait(ShopId, Sim.Now), std::nullopt);
+  Core.setStoreFresh(true);
+  Core.setAgentEntries({{{1, 7000}, std::string(Shop), "a"},
+                        {{2, 7000}, std::string(Shop), "a"}},
+                       Sim.Now);
+  Sim.run(InitialSettleTime);
   EXPECT_EQ(Core.expectedWait(ShopId, Sim.Now), milliseconds(450));
 }
 
