--- a/packages/flows/include/burdockstream/flows/CompletionTime.h
+++ b/packages/flows/include/burdockstream/flows/CompletionTime.h
@@ -24,17 +24,17 @@
 
 namespace burdockstream::flows {
 
-// Assumed time of the two ways between failure domains that a request takes:
-// that of its opening packet and its own. Nothing measures it; between the
-// zones of a region it is 1 to 11 ms.
-inline constexpr Milliseconds RemoteRoundTrip{10};
+// Assumed additional latency of a target in another failure domain: the one-way
+// delay of the opening packet and that of the request. It is not measured;
+// failure domains of a region are a few milliseconds apart.
+inline constexpr Milliseconds RemoteLatency{10};
 
 // Slot time while none of a service's targets is known. All its targets count
-// alike then; a queue of one request per slot outweighs RemoteRoundTrip.
+// alike then; a queue of one request per slot outweighs RemoteLatency.
 inline constexpr Milliseconds AssumedSlotTime{20};
 
 // Returns Candidate::Distance of a target in another failure domain with
-// Candidate::Penalty. It has the same ratio to RemoteRoundTrip as Penalty to
+// Candidate::Penalty. It has the same ratio to RemoteLatency as Penalty to
 // RemotePenalty, so downloads stay as local as with chooseTarget(). Thread
 // safety: any thread.
 Milliseconds remoteDistance(double Penalty);
@@ -52,8 +52,8 @@
 
 // Returns the target with the least expected time, or nullopt if Choices is
 // empty. Among equal ones it prefers Candidate::Preferred, then chooses at
-// random. Only for balancers that do not share their targets with others, see
-// above. Precondition: no Slots is zero. Thread safety: that of Random.
+// random. The reference for chooseBetterOfTwo(), which balancers use.
+// Precondition: no Slots is zero. Thread safety: that of Random.
 std::optional<uint32_t> chooseByLeastTime(std::span<const Candidate> Choices,
                                           base::RandomSource &Random);
 
--- a/packages/flows/include/burdockstream/flows/UnansweredQuestions.h
+++ b/packages/flows/include/burdockstream/flows/UnansweredQuestions.h
@@ -22,13 +22,13 @@
     std::chrono::milliseconds(300);
 
 // Replaces LostAgentAnswerTimeout for an agent that has left questions
-// unanswered for that long: a round trip to another failure domain, so that the
-// answer of an agent that has returned is not missed.
+// unanswered for that long: several round trips to another failure domain, so
+// that the answer of an agent that has returned is not missed.
 inline constexpr base::Duration FurtherAnswerTimeout =
     std::chrono::milliseconds(30);
 
 // After a pause of this length in the questions, the agent gets the full time
-// again.
+// again: it may have returned meanwhile, and would have received a hello.
 inline constexpr base::Duration QuestionPause = std::chrono::seconds(1);
 
 // The questions to one agent that it has not answered. Not thread-safe.
@@ -47,7 +47,7 @@
                     AskedAt + FurtherAnswerTimeout);
   }
 
-  // Records a sign of life: an answer or a status.
+  // Records that the agent has sent an answer or a status.
   void recordAnswer() { First.reset(); }
 
 private:
--- a/packages/flows/src/CompletionTime.cpp
+++ b/packages/flows/src/CompletionTime.cpp
@@ -45,7 +45,7 @@
 } // namespace
 
 Milliseconds remoteDistance(double Penalty) {
-  return RemoteRoundTrip * (Penalty / RemotePenalty);
+  return RemoteLatency * (Penalty / RemotePenalty);
 }
 
 Milliseconds typicalSlotTime(std::span<const Candidate> Choices) {
--- a/testing/flow_soak/src/CountsCheck.cpp
+++ b/testing/flow_soak/src/CountsCheck.cpp
@@ -44,8 +44,12 @@
       if (Value == "0")
         continue;
       std::ostringstream Text;
-      Text << "agent " << I << " reports " << Name << " \"" << Value
-           << "\" after all flows have ended";
+      Text << "agent " << I;
+      if (Value.empty())
+        Text << " lacks the gauge " << Name;
+      else
+        Text << " reports " << Name << " " << Value
+             << " at the end, expected 0";
       Found.push_back(Text.str());
     }
   }
--- a/testing/flow_soak/src/FlowSoak.cpp
+++ b/testing/flow_soak/src/FlowSoak.cpp
@@ -161,7 +161,9 @@
     Clients->finish();
     e2e::runLoopFor(FinishTime);
     if (const size_t Remaining = Clients->remaining())
-      Report.Found.push_back(std::to_string(Remaining) + " flows do not end");
+      Report.Found.push_back(
+          std::to_string(Remaining) +
+          " flows had not ended after the clients closed them");
     if (!Options.OtherProgram.empty())
       return;
     CountsCheck Counts(Options.Agents, Report.Found);
