Wait 60 ms for an agent that left questions unanswered

Found in a review: an agent whose VM has stalled and resumes may need longer than 30 ms for its first answer, and its open flows would be reset.

--- a/packages/flows/include/burdockstream/flows/UnansweredQuestions.h
+++ b/packages/flows/include/burdockstream/flows/UnansweredQuestions.h
@@ -22,10 +22,10 @@
     std::chrono::milliseconds(300);
 
 // Replaces LostAgentAnswerTimeout for an agent that has left questions
-// unanswered for that long: several round trips to another failure domain, so
+// unanswered for that long: many round trips to another failure domain, so
 // that the answer of an agent that has returned is not missed.
 inline constexpr base::Duration FurtherAnswerTimeout =
-    std::chrono::milliseconds(30);
+    std::chrono::milliseconds(60);
 
 // After a pause of this length in the questions, the agent gets the full time
 // again: it may have returned meanwhile, and would have received a hello.
