--- a/bench/losses/losses.py
+++ b/bench/losses/losses.py
@@ -201,7 +201,7 @@
             "worst windows": statistics.mean(favoured[i] for i in worst),
             "worst class": whole,
         }
-        if "nines" in self.goal:
+        if self.goal.get("nines", 0) > 0:
             _, lost = self.by_window(by_deadline)
             parts["nines"] = value_of_nines(lost / self.total, self.goal["nines_best"])
         return parts
--- a/bench/losses/losses_test.py
+++ b/bench/losses/losses_test.py
@@ -98,6 +98,13 @@
         self.assertEqual(nines, 1)
         self.assertAlmostEqual(worth, 0.5 * whole + 0.1 * worst + 0.1 * least + 0.3, 2)
 
+    # Guards against a deployment that does not weigh the part, whose report lacks
+    # it.
+    def test_part_without_weight_is_left_out(self):
+        site = tomllib.loads(SITE.format(slots=2))
+        site["goal"]["nines"] = 0.0
+        self.assertNotIn("nines", losses.Bounds(site, site["day"][0], report([1, 0.4, 0.9, 1])).parts())
+
     # Guards against a bound that is below what was earned without a word.
     def test_fails_if_more_was_earned(self):
         done = self.run_on(report([1, 0.99, 0.9, 1]))
