--- a/packages/flows/src/CompletionTime.cpp
+++ b/packages/flows/src/CompletionTime.cpp
@@ -10,9 +10,9 @@
 
 namespace {
 
-// Returns the slot time after the warm-up. A slot time that is reported during
-// the warm-up was measured in it, since agents discard the measurements of
-// earlier runs of the target.
+// Returns the slot time after the warm-up. One that is reported during the
+// warm-up covers about the last 32 answers, so it was measured in the warm-up
+// but for the first of them after a restart of the target alone.
 Milliseconds normalSlotTime(const Candidate &Choice, Milliseconds Typical) {
   if (Choice.SlotTimeUs == 0)
     return Typical;
