--- a/packages/flows/include/burdockstream/flows/OfferPolicy.h
+++ b/packages/flows/include/burdockstream/flows/OfferPolicy.h
@@ -41,6 +41,7 @@
   // How long a new request of the service waits before it is served; nullopt if
   // unknown.
   std::optional<base::Duration> ExpectedWait;
+  // Without further copies to the same target; max(): no offer yet.
   base::Duration SinceLastOffer = base::Duration::max();
 };
 
--- a/packages/flows/test/BalancerTest.cpp
+++ b/packages/flows/test/BalancerTest.cpp
@@ -210,8 +210,8 @@
   EXPECT_EQ(Sim.Resets.size(), 1U);
 }
 
-// Guards against a short wait for an agent that answers, or that nobody has
-// asked for a while.
+// Guards against a short wait for an agent that answers, or that was not asked
+// for a while.
 TEST(UnansweredQuestionsTest, AnAnswerOrAPauseRestoresTheFullTime) {
   const base::TimePoint Start{seconds(100)};
   UnansweredQuestions Questions;
