Do not count a flow of an unknown past as open at a bare acknowledgement

Symptom: agents reported open flows that had ended, for 30 to 60 s, and balancers preferred other targets.

Cause: an agent that restarts between a target's end of a flow and the target's last acknowledgement has no record of the flow. The acknowledgement created one and counted it as open.

Change: a flow is counted at data of the target, or at any of its packets once the agent has seen a request of the flow. Only a flow that is open carries either. Ruled out: ignoring bare acknowledgements of flows with a record, which would count a flow that has just got its first request later than before.

--- a/packages/flows/src/FlowAgent.cpp
+++ b/packages/flows/src/FlowAgent.cpp
@@ -157,8 +157,11 @@
   completeTrial(Packet.Flow);
   if (!Packet.Accepts && !Packet.Aborts) {
     Record.Open = true;
-    // The target still acknowledges the client's end after its own.
-    if (!Record.Counted && !Record.Closing && !Packet.Finishes) {
+    // The target still acknowledges the client's end after its own. An agent
+    // that has restarted in between does not know that the flow has ended.
+    const bool MayHaveEnded =
+        Record.Closing || (Packet.DataBytes == 0 && Record.RequestEnd == 0);
+    if (!Record.Counted && !MayHaveEnded && !Packet.Finishes) {
       Record.Counted = true;
       ++OpenFlows;
     }
--- a/packages/flows/test/LoadCountersTest.cpp
+++ b/packages/flows/test/LoadCountersTest.cpp
@@ -135,6 +135,18 @@
   EXPECT_EQ(status().Waiting, 0U);
 }
 
+// Guards against a closed flow that an agent counts as open for up to two idle
+// timeouts: it was restarted after the target had closed the flow, and sees
+// only the target's last acknowledgement.
+TEST_F(LoadCountersTest, AnAcknowledgementOfAnUnknownFlowDoesNotOpenIt) {
+  fromTarget(1, Packet());
+  fromClient(1, with(&Packet::Finishes));
+  fromTarget(1, Packet());
+  EXPECT_EQ(status().Flows, 0U);
+  respond(1); // only an open flow gets data
+  EXPECT_EQ(status().Flows, 1U);
+}
+
 // Guards against a flow at a reused port that counts neither as open nor as
 // waiting, since the record of the closed flow before it has another sequence.
 TEST_F(LoadCountersTest, AReusedPortIsANewFlow) {
