Discard the service time estimate with a target's run

Symptom: a target that has restarted beside its agent, or whose failure domain returns from an evacuation, is cold, but its status carried the slot time of the warm run for up to 32 responses, so balancers preferred it.

Cause: the estimate was cleared for a replaced target only.

Change: a new run and the end of an evacuation with a warm-up clear it. Until the next 8 responses it is unknown, which balancers treat as the median of the service.

Evidence: LoadCountersTest.ANewRunHasNoSlotTimeYet failed before (48,437 us reported after the restart, expected 0).

--- a/packages/flows/src/AgentStatus.cpp
+++ b/packages/flows/src/AgentStatus.cpp
@@ -43,6 +43,7 @@
     if (Observed)
       resetAllFlows(Now); // the flows of the earlier run no longer exist
     KnowsAllFlows = Observed;
+    ServiceTime.clear(); // the new run is cold
     apply(TargetEvent::Replace, "new_run", Now);
   }
   if (Verdict == HeartbeatVerdict::Resumed)
@@ -213,8 +214,10 @@
   if (!Changed)
     return;
   // The target may have to warm up again; its next heartbeat says so.
-  if (!Evacuation.Evacuated && Warmup.value() > 0)
+  if (!Evacuation.Evacuated && Warmup.value() > 0) {
     WarmupEnd = std::max(WarmupEnd, Now + Options.HeartbeatOverdue);
+    ServiceTime.clear();
+  }
   if (Hooks.OnEvacuation)
     Hooks.OnEvacuation(Evacuation, From);
   // Before the held packets, so that balancers do not offer these to other
--- a/packages/flows/test/LoadCountersTest.cpp
+++ b/packages/flows/test/LoadCountersTest.cpp
@@ -51,7 +51,7 @@
     Beat.TargetId = "i-0";
     Beat.Service = std::string(Service);
     Beat.Address = {0x0A010000, 8080};
-    Beat.StartedAtMs = 1000;
+    Beat.StartedAtMs = StartedAtMs;
     Beat.Sequence = ++Heartbeats;
     Beat.Slots = 2;
     Agent->onHeartbeat(Beat, Now);
@@ -122,6 +122,7 @@
   TargetStatus Reported;
   base::TimePoint Now = base::TimePoint(seconds(100));
   uint64_t Heartbeats = 0;
+  int64_t StartedAtMs = 1000;
   uint32_t LastTag = 0;
 };
 
@@ -147,6 +148,22 @@
   EXPECT_EQ(status().Flows, 1U);
 }
 
+// Guards against a target that has restarted cold and looks as fast as before,
+// so that balancers prefer it to warm ones.
+TEST_F(LoadCountersTest, ANewRunHasNoSlotTimeYet) {
+  for (uint16_t Port = 1; Port <= 20; ++Port) {
+    open(Port);
+    accept(Port);
+    request(Port);
+    advance(milliseconds(50));
+    respond(Port);
+  }
+  EXPECT_GT(status().SlotTimeUs, 40'000U);
+  StartedAtMs += 20'000;
+  Heartbeats = 0;
+  EXPECT_EQ(status().SlotTimeUs, 0U);
+}
+
 // Guards against a flow at a reused port that counts neither as open nor as
 // waiting, since the record of the closed flow before it has another sequence.
 TEST_F(LoadCountersTest, AReusedPortIsANewFlow) {
