Reset an opening packet that cannot be parked between two rounds

Symptom: clients of a service whose targets refuse all flows got no answer while their balancer had 1,024 packets parked; neither log nor counters showed these openings.

Cause: the result of parking was ignored.

Change: the opening ends as at the end of its attempt: it is reset unless a target may have accepted it, and counted in openings_unserved_total.

Evidence: RepeatedOffersTest.AnOpeningThatCannotBeParkedIsReset failed before (0 resets for 10 openings over the limit).

--- a/packages/flows/include/burdockstream/flows/FlowBalancer.h
+++ b/packages/flows/include/burdockstream/flows/FlowBalancer.h
@@ -318,7 +318,7 @@
   void retryOutstanding(Search &Running, const FlowKey &Flow,
                         base::TimePoint Now);
   void expireSearches(base::TimePoint Now);
-  void park(const Packet &Packet, ParkReason Reason);
+  bool park(const Packet &Packet, ParkReason Reason);
   void replayParked(base::TimePoint Now);
   void replay(ParkReason Reason, base::TimePoint Now);
   void finishSearch(const FlowKey &Flow, Search &Done, base::TimePoint Now);
--- a/packages/flows/src/FlowParking.cpp
+++ b/packages/flows/src/FlowParking.cpp
@@ -4,10 +4,12 @@
 
 namespace burdockstream::flows {
 
-void FlowBalancer::park(const Packet &Packet, ParkReason Reason) {
-  if (!Parked.add(Packet, Reason, ArrivedAt) &&
-      Reason == ParkReason::SearchRateLimit)
+// Returns false if there is no room for the packet.
+bool FlowBalancer::park(const Packet &Packet, ParkReason Reason) {
+  const bool Added = Parked.add(Packet, Reason, ArrivedAt);
+  if (!Added && Reason == ParkReason::SearchRateLimit)
     ++DroppedSearchCount;
+  return Added;
 }
 
 void FlowBalancer::replay(ParkReason Reason, base::TimePoint Now) {
--- a/packages/flows/src/FlowSearch.cpp
+++ b/packages/flows/src/FlowSearch.cpp
@@ -71,8 +71,10 @@
 void FlowBalancer::startSearch(const Packet &Packet, TargetIndex Excluded,
                                base::TimePoint Now) {
   auto Holders = possibleHolders(SearchStage::Preferred, Packet.Flow);
-  if (!admitSearch(Holders.size(), Now))
-    return park(Packet, ParkReason::SearchRateLimit);
+  if (!admitSearch(Holders.size(), Now)) {
+    park(Packet, ParkReason::SearchRateLimit);
+    return;
+  }
   Search &New = Searches[Packet.Flow];
   New.Started = Now;
   New.NextRetry = Now + New.RetryInterval;
--- a/packages/flows/src/RepeatedOffers.cpp
+++ b/packages/flows/src/RepeatedOffers.cpp
@@ -24,8 +24,11 @@
   const auto Chosen = chooseAgain(Packet.Flow, Route, Next, Now);
   if (!Chosen)
     return refuseOrPark(Packet, Route, Entry, Now);
-  if (Step == RoundStep::Wait)
-    return park(Packet, ParkReason::OfferInterval);
+  if (Step == RoundStep::Wait) {
+    if (!park(Packet, ParkReason::OfferInterval))
+      endOpening(Packet, Entry, Now);
+    return;
+  }
   Entry = Next;
   ++Entry.FurtherRounds;
   placeAt(*Chosen, Packet, Route, Entry, Now);
--- a/packages/flows/test/RepeatedOffersTest.cpp
+++ b/packages/flows/test/RepeatedOffersTest.cpp
@@ -206,6 +206,21 @@
   EXPECT_EQ(Sim.Resets.size(), 1U);
 }
 
+// Guards against openings that are dropped without a reset or a record because
+// the maximum number of packets is parked. Load pattern: a service whose
+// targets refuse all flows, at several hundred openings per second.
+TEST_F(RepeatedOffersTest, AnOpeningThatCannotBeParkedIsReset) {
+  start();
+  for (SimulatedAgent &Each : Sim.Agents)
+    Each.Target.Full = true;
+  for (uint16_t I = 0; I < MaxParkedPackets + 10; ++I)
+    Sim.open(0, Simulation::flow(static_cast<uint16_t>(20000 + I)));
+  EXPECT_EQ(Sim.Balancers[0].Core->parked(), MaxParkedPackets);
+  EXPECT_EQ(Sim.Resets.size(), 10U);
+  EXPECT_EQ(Sim.count(DecisionKind::RefusedBusy), 10U);
+  EXPECT_EQ(counters().Unserved, 10U);
+}
+
 // Guards against a wait for targets that leave during the first round.
 TEST_F(RepeatedOffersTest, TargetsThatLeaveEndTheWait) {
   start();
