Offer an opening again that was returned for old routes

Symptom: an opening on a route with repeated offers, returned because its balancer lacks the newest routes after the client has sent its last copy, was neither offered again nor reset. The client waited until its own limit.

Cause: onReturned() relied on a further copy of the client.

Change: the packet waits as between two rounds, is offered again when the routes have arrived, and is reset at the end of the attempt. Other routes are served as before.

Evidence: RepeatedOffersTest.AnOpeningReturnedForOldRoutesIsOfferedAgain and AnOpeningReturnedForOldRoutesIsResetAtTheEnd failed before.

--- a/packages/flows/src/FlowSearch.cpp
+++ b/packages/flows/src/FlowSearch.cpp
@@ -274,12 +274,17 @@
   if (!Entry)
     return;
   Entry->recordReturn(Agent, Now);
-  // A copy that was offered to another target since may be accepted there. With
-  // outdated routes the flow must wait for newer ones; the client sends a copy.
-  if (Entry->Target != Agent || Reason == ReturnReason::OldRoutes)
+  // A copy that was offered to another target since may be accepted there.
+  const Route *Route = Routes ? Routes->find(Packet.Flow) : nullptr;
+  if (Entry->Target != Agent || !Route)
     return;
-  if (const Route *Route = Routes ? Routes->find(Packet.Flow) : nullptr)
-    place(Packet, *Route, *Entry, Now);
+  if (Reason != ReturnReason::OldRoutes)
+    return place(Packet, *Route, *Entry, Now);
+  // The flow must wait for newer routes. The client sends another copy, unless
+  // the last one was offered in a further round.
+  if (repeatsOffers(Self.OpeningAttempt, Route->Time) &&
+      !park(Packet, ParkReason::OfferInterval))
+    endOpening(Packet, *Entry, Now);
 }
 
 void FlowBalancer::onHeld(TargetIndex Agent, const FlowKey &Flow,
--- a/packages/flows/test/RepeatedOffersTest.cpp
+++ b/packages/flows/test/RepeatedOffersTest.cpp
@@ -57,6 +57,17 @@
     Sim.Decisions.clear();
   }
 
+  // Agents learn of routes that the balancer does not have, until they return
+  // its openings.
+  void announceNewerRoutes() {
+    for (SimulatedAgent &Each : Sim.Agents)
+      Each.Core->onHello(Sim.Balancers[1].Address, 11, {}, Sim.Now);
+    for (int I = 0; I < 3; ++I) {
+      Sim.run(milliseconds(500));
+      Sim.sendHeartbeats();
+    }
+  }
+
   // Delivers a packet as a former balancer does: with the reason None.
   void deliver(SimulatedAgent &Place, const Packet &Value,
                std::optional<RequestTime> Time = std::nullopt,
@@ -206,6 +217,31 @@
   EXPECT_EQ(Sim.Resets.size(), 1U);
 }
 
+// Guards against an opening that is neither offered again nor reset, since
+// agents returned it for the sake of routes that its balancer does not have,
+// and the client had sent its last copy before.
+TEST_F(RepeatedOffersTest, AnOpeningReturnedForOldRoutesIsOfferedAgain) {
+  start();
+  announceNewerRoutes();
+  Sim.open(0, New);
+  Sim.run(milliseconds(300));
+  EXPECT_EQ(Sim.holder(New), -1);
+  EXPECT_TRUE(Sim.Resets.empty());
+  Sim.setRoutes(0, 11, {{ShopAddress, std::string(Shop)}},
+                WorkClass::Idempotent, LongRoute);
+  Sim.run(milliseconds(300));
+  EXPECT_NE(Sim.holder(New), -1);
+}
+
+// Guards against the same opening that is not reset at the attempt's end.
+TEST_F(RepeatedOffersTest, AnOpeningReturnedForOldRoutesIsResetAtTheEnd) {
+  start();
+  announceNewerRoutes();
+  Sim.open(0, New);
+  Sim.run(Attempt + MaxHoldTime);
+  EXPECT_EQ(Sim.Resets, std::vector<FlowKey>{New});
+}
+
 // Guards against openings that are dropped without a reset or a record because
 // the maximum number of packets is parked. Load pattern: a service whose
 // targets refuse all flows, at several hundred openings per second.
