Log the time left of a refused opening

The decision refused_busy gets left_ms: what is left of the route's timeout, counted from the first copy of this attempt. Without it an operator cannot tell whether a client was refused early.

RepeatedOffersTest.ARefusalStatesTheTimeLeft failed before.

--- a/packages/flowd/src/DecisionLog.cpp
+++ b/packages/flowd/src/DecisionLog.cpp
@@ -25,6 +25,8 @@
   Fields["slots"] = Decision.Slots;
   Fields["status_age_ms"] =
       Json::Int64(base::toMilliseconds(Decision.StatusAge));
+  if (Decision.TimeLeft)
+    Fields["left_ms"] = Json::Int64(base::toMilliseconds(*Decision.TimeLeft));
   return Fields;
 }
 
--- a/packages/flows/include/burdockstream/flows/FlowDecision.h
+++ b/packages/flows/include/burdockstream/flows/FlowDecision.h
@@ -11,6 +11,7 @@
 #include "burdockstream/flows/RouteTable.h"
 
 #include <cstdint>
+#include <optional>
 #include <string_view>
 
 namespace burdockstream::flows {
@@ -60,6 +61,9 @@
   uint32_t Waiting = 0;    // requests at the target without an answer
   uint32_t Slots = 0;
   base::Duration StatusAge{0}; // age of the target's last status
+  // Of a refused opening: what is left of the route's timeout, counted from the
+  // first copy of this attempt; nullopt if the route has none.
+  std::optional<base::Duration> TimeLeft;
 };
 
 } // namespace burdockstream::flows
--- a/packages/flows/src/FlowBalancer.cpp
+++ b/packages/flows/src/FlowBalancer.cpp
@@ -270,8 +270,8 @@
                           size_t Candidates) {
   // Any sequence number is valid before the flow is open.
   Hooks.SendReset(Packet.Flow, 0);
-  Flows.erase(Packet.Flow);
   reportDecision(Kind, Packet.Flow, NoTarget, Candidates, LastTick);
+  Flows.erase(Packet.Flow);
 }
 
 void FlowBalancer::onStatus(base::SocketAddress Agent,
@@ -372,8 +372,13 @@
   Decision.Routes = routesRevision();
   Decision.Candidates = static_cast<uint32_t>(Candidates);
   Decision.Round = Round;
-  if (const Route *Route = Routes ? Routes->find(Flow) : nullptr)
+  if (const Route *Route = Routes ? Routes->find(Flow) : nullptr) {
     Decision.Class = Route->Class;
+    const FlowEntry *Entry = Flows.peek(Flow);
+    if (Kind == DecisionKind::RefusedBusy && Route->Time && Entry)
+      Decision.TimeLeft =
+          Route->Time->ToTimeLimit - (Now - Entry->FirstCopySentAt);
+  }
   if (const Target *Chosen = Targets.at(Index)) {
     Decision.Target = Chosen->Agent;
     Decision.Waiting = Chosen->Status.Waiting;
--- a/packages/flows/test/RepeatedOffersTest.cpp
+++ b/packages/flows/test/RepeatedOffersTest.cpp
@@ -257,6 +257,23 @@
   EXPECT_EQ(counters().Unserved, 10U);
 }
 
+// Guards against a refusal from which operators cannot tell what the client
+// still had.
+TEST_F(RepeatedOffersTest, ARefusalStatesTheTimeLeft) {
+  start();
+  fillTargets();
+  Sim.open(0, New);
+  Sim.run(Attempt);
+  const auto Refused = std::find_if(
+      Sim.Decisions.begin(), Sim.Decisions.end(),
+      [](const auto &Each) { return Each.Kind == DecisionKind::RefusedBusy; });
+  ASSERT_NE(Refused, Sim.Decisions.end());
+  ASSERT_TRUE(Refused->TimeLeft);
+  EXPECT_GE(*Refused->TimeLeft, LongRoute.ToTimeLimit - Attempt);
+  EXPECT_LE(*Refused->TimeLeft,
+            LongRoute.ToTimeLimit - Attempt + MaxHoldTime + Tick);
+}
+
 // Guards against a wait for targets that leave during the first round.
 TEST_F(RepeatedOffersTest, TargetsThatLeaveEndTheWait) {
   start();
