Remove services without targets from the capacity reports

Reports and gauges kept each service that was ever deployed, with its last shortage. A service is now removed once it has no target and its shortage has been reported as ended.

CapacityReportsTest.AServiceWithoutTargetsIsRemoved failed before (1 service reported, expected 0), and so did ShowsAShortageAndItsEnd with the new check of limit_ms.

--- a/packages/flowd/src/CapacityReports.cpp
+++ b/packages/flowd/src/CapacityReports.cpp
@@ -66,6 +66,9 @@
     const auto LatencyTarget = Target == LatencyTargets.end()
                                    ? std::nullopt
                                    : std::optional(Target->second);
+    if (Known.Capacity)
+      Known.ShortageLimit =
+          shortageLimits(*Known.Capacity, LatencyTarget).Begin;
     const auto WasShortFor = Monitor.shortFor(Id, Now.Monotonic);
     const auto Change =
         Monitor.update(Id, Known.Capacity, LatencyTarget, Now.Monotonic);
@@ -73,6 +76,21 @@
       logChange(*Change, Id, Known, WasShortFor.value_or(base::Duration(0)),
                 Now);
   }
+  removeServices(Core.targets(), Now.Monotonic);
+}
+
+// Removes services that have no target and whose shortage, if any, has been
+// reported as ended.
+void CapacityReports::removeServices(const flows::TargetTable &Targets,
+                                     base::TimePoint Now) {
+  std::erase_if(Services, [&](const auto &Each) {
+    const auto &[Id, Known] = Each;
+    if (!Targets.ofService(Id).empty() || Monitor.shortFor(Id, Now))
+      return false;
+    setGauges(Known.Label, Values());
+    Monitor.forget(Id);
+    return true;
+  });
 }
 
 CapacityReports::Values CapacityReports::valuesOf(base::ServiceId Id,
@@ -141,6 +159,8 @@
   Fields["rate_per_second"] = Json::Int64(Shown.Rate);
   Fields["work_ahead"] = Json::Int64(Shown.WorkAhead);
   setTime(Fields["expected_wait_ms"], Shown.ExpectedWaitMs);
+  if (Change == flows::ShortageChange::Began)
+    Fields["limit_ms"] = Json::Int64(base::toMilliseconds(Known.ShortageLimit));
   Fields["targets"] = Json::Int64(Shown.Targets);
   Fields["targets_warming_up"] = Json::Int64(Shown.Warming);
   if (Change != flows::ShortageChange::Began)
--- a/packages/flowd/src/CapacityReports.h
+++ b/packages/flowd/src/CapacityReports.h
@@ -52,6 +52,8 @@
   struct Service {
     std::string Label;
     std::optional<flows::ServiceCapacity> Capacity; // nullopt: unknown
+    // Expected wait above which it is short, as of the last known capacity.
+    base::Duration ShortageLimit{0};
   };
   // The values that operators see of one service.
   struct Values {
@@ -67,6 +69,7 @@
 
   void readRoutes(const flows::FlowBalancer &Core);
   void nameServices(const flows::TargetTable &Targets);
+  void removeServices(const flows::TargetTable &Targets, base::TimePoint Now);
   Values valuesOf(base::ServiceId Id, const Service &Known,
                   base::TimePoint Now) const;
   void setGauges(const std::string &Label, const Values &Shown);
--- a/packages/flowd/test/CapacityReportsTest.cpp
+++ b/packages/flowd/test/CapacityReportsTest.cpp
@@ -118,6 +118,8 @@
   EXPECT_EQ(Lines[0]["event"], "capacity_short");
   EXPECT_EQ(Lines[0]["service"], Shop);
   EXPECT_EQ(Lines[0]["expected_wait_ms"].asInt64(), 500);
+  // Without a latency target: four slot times.
+  EXPECT_EQ(Lines[0]["limit_ms"].asInt64(), 160);
   EXPECT_EQ(Lines[1]["event"], "capacity_sufficient");
   EXPECT_EQ(Lines[1]["was_short_for_ms"].asInt64(), 3000);
   EXPECT_EQ(gauge("short"), 0);
@@ -146,5 +148,27 @@
   EXPECT_TRUE(Lines.back()["expected_wait_ms"].isNull());
 }
 
+// Guards against memory that grows with all services that were ever deployed,
+// and against the last values of a service that is gone.
+TEST_F(CapacityReportsTest, AServiceWithoutTargetsIsRemoved) {
+  list();
+  run(27, seconds(1));
+  EXPECT_EQ(Reports->describe(Now).size(), 1U);
+  for (const uint32_t Agent : {2, 3})
+    Core.removeAgentEntry({Agent, 7000}, Now);
+  for (int I = 0; I < 100; ++I) {
+    Now += milliseconds(100);
+    Core.tick(Now);
+    Reports->update(Core, {Now, {}});
+  }
+  EXPECT_EQ(Core.targets().size(), 0U);
+  EXPECT_EQ(Reports->describe(Now).size(), 0U);
+  EXPECT_EQ(gauge("rate_per_second"), 0);
+  EXPECT_EQ(gauge("short"), 0);
+  const auto Lines = readLines();
+  ASSERT_FALSE(Lines.empty());
+  EXPECT_EQ(Lines.back()["event"], "capacity_unknown");
+}
+
 } // namespace
 } // namespace burdockstream::flowd
--- a/packages/flows/include/burdockstream/flows/ServiceCapacity.h
+++ b/packages/flows/include/burdockstream/flows/ServiceCapacity.h
@@ -111,6 +111,9 @@
          const std::optional<ServiceCapacity> &Capacity,
          std::optional<base::Duration> LatencyTarget, base::TimePoint Now);
 
+  // Removes the state of Service.
+  void forget(base::ServiceId Service) { Services.erase(Service); }
+
   // Returns how long Service has been short, or nullopt if it is not.
   std::optional<base::Duration> shortFor(base::ServiceId Service,
                                          base::TimePoint Now) const;
