Run repeated offers under failure in the soak, and one soak at a time

The soak's balancers get opening_attempt_ms and its route to the shop a timeout of 4 s, so that its overload step and faults meet repeated offers.

A soak now waits for a lock until the other one has ended.

--- a/testing/flow_soak/src/FlowSoak.cpp
+++ b/testing/flow_soak/src/FlowSoak.cpp
@@ -9,9 +9,13 @@
 #include "burdockstream/testing/PlatformStoreStandIn.h"
 
 #include <csignal>
+#include <fcntl.h>
+#include <filesystem>
 #include <fstream>
 #include <glib.h>
 #include <glog/logging.h>
+#include <sys/file.h>
+#include <unistd.h>
 
 namespace burdockstream::flowsoak {
 
@@ -34,7 +38,7 @@
         R"({"name":"idle","host":"198.18.1.)" + std::to_string(I % 250) +
         R"(","prefix":"/443/","route_type":"idempotent","service":"shop"},)";
   return Text +
-         R"({"name":"a","host":"198.18.0.1","prefix":"/443/","route_type":"idempotent","service":"shop"},)"
+         R"({"name":"a","host":"198.18.0.1","prefix":"/443/","route_type":"idempotent","service":"shop","timeout_ms":4000,"target_latency_ms":300},)"
          R"({"name":"b","host":"198.18.0.2","prefix":"/443/","route_type":"download","service":"vault"}]})";
 }
 
@@ -70,6 +74,26 @@
 constexpr milliseconds FinishTime{4'000};
 constexpr milliseconds MetricsTime{1'000};
 
+// Waits until no other soak runs on this machine: all use the same addresses.
+class MachineLock {
+public:
+  MachineLock()
+      : File(::open((std::filesystem::temp_directory_path() /
+                     "burdockstream-flow-soak.lock")
+                        .c_str(),
+                    O_CREAT | O_RDWR | O_CLOEXEC, 0666)) {
+    PCHECK(File >= 0);
+    while (::flock(File, LOCK_EX) != 0)
+      PCHECK(errno == EINTR);
+  }
+  ~MachineLock() { ::close(File); }
+  MachineLock(const MachineLock &) = delete;
+  MachineLock &operator=(const MachineLock &) = delete;
+
+private:
+  int File;
+};
+
 class Soak {
 public:
   explicit Soak(const SoakOptions &InitOptions)
@@ -219,7 +243,8 @@
            "\"ready_address\":" + quoted(place(1, I, ReadyPort)) +
            ",\"seed_address\":" + quoted(place(1, I, HeartbeatPort)) +
            ",\"peers\":[" +
-           quoted(place(1, (I + 1) % Options.Balancers, HeartbeatPort)) + "]}";
+           quoted(place(1, (I + 1) % Options.Balancers, HeartbeatPort)) +
+           "],\"opening_attempt_ms\":1400}";
   }
 
   static std::string agentSettings(size_t I) {
@@ -328,6 +353,7 @@
     }
   }
 
+  MachineLock Lock;
   SoakOptions Options;
   base::RandomSource Random;
   SoakReport Report;
