Ask the store for a proof only when all agents have denied a flow

Cause: a search asked the store for all changes when it reached the last stage, so that the answer arrives while the agents answer. Most flows of that stage are found, and the call was for nothing. A request that was put off was sent even if no search waited for it any more.

Change: the request is sent once all agents have denied the flow, and one that nothing waits for is dropped. What a proof shows is unchanged; a reset comes one round trip to the store later.

Evidence: ViewAgeTest.AFlowThatIsFoundNeedsNoStoreCall and AnUnneededRequestIsNotSent failed before.

--- a/packages/flows/src/FlowSearch.cpp
+++ b/packages/flows/src/FlowSearch.cpp
@@ -162,9 +162,6 @@
   }
   const Packet Newest = Running.Buffered.back().packet();
   ask(Running, Others, headerOf(Newest), Now);
-  // Most flows are found before. The store answers while agents do.
-  if (Running.Stage == SearchStage::All && StoreFresh)
-    isCaughtUp(ViewPart::Agents, Running.Started, Now);
   return true;
 }
 
--- a/packages/flows/test/ViewAgeTest.cpp
+++ b/packages/flows/test/ViewAgeTest.cpp
@@ -80,6 +80,51 @@
       std::count(Sim.Resets.begin(), Sim.Resets.end(), Simulation::flow(2)), 0);
 }
 
+// Load pattern: routes have moved to another service, and the fabric moves the
+// flows of the former one. Guards against a store call for each flow that an
+// agent holds: only a reset needs the proof.
+TEST_F(ViewAgeTest, AFlowThatIsFoundNeedsNoStoreCall) {
+  build(3);
+  const size_t Holder = Sim.addAgent(Vault);
+  Sim.setRoutes(0, 11, {{ShopAddress, std::string(Vault)}});
+  Sim.listAll();
+  runWithHeartbeats(seconds(2));
+  Sim.openAndRequest(0, Simulation::flow(1));
+  ASSERT_EQ(Sim.holder(Simulation::flow(1)), static_cast<int>(Holder));
+  Sim.restartBalancer(0);
+  Sim.setRoutes(0, 12, {{ShopAddress, std::string(Shop)}});
+  Sim.listAll();
+  runWithHeartbeats(seconds(2));
+  Requests.clear();
+  Sim.send(0, Simulation::flow(1));
+  Sim.run(milliseconds(200));
+  EXPECT_EQ(Sim.Agents[Holder].Target.Requests, 2U);
+  EXPECT_TRUE(Requests.empty());
+}
+
+// Guards against a store call that was put off and that no search waits for any
+// more when its time comes.
+TEST_F(ViewAgeTest, AnUnneededRequestIsNotSent) {
+  build(3);
+  Answers = true;
+  Sim.send(0, Simulation::flow(1));
+  Sim.run(Tick);
+  Sim.send(0, Simulation::flow(2)); // too soon after the first request
+  ASSERT_EQ(Requests.size(), 1U);
+  Sim.DropsFrame = [](base::SocketAddress, FrameKind Kind) {
+    return Kind == FrameKind::Forward; // the agent would return the packet
+  };
+  FrameHeader Header;
+  Header.Kind = FrameKind::Held;
+  Header.Service = base::serviceIdOf(Shop);
+  Packet Found;
+  Found.Flow = Simulation::flow(2);
+  Sim.Balancers[0].Core->onAgentAnswer(Sim.Agents[0].Address, Header, Found,
+                                       Sim.Now);
+  Sim.run(milliseconds(300));
+  EXPECT_EQ(Requests.size(), 1U);
+}
+
 // Load pattern: many unknown flows at once, as after the loss of machines.
 // Guards against a store call for each, and against flows that are left without
 // an answer because a request was put off.
