--- a/packages/flows/include/burdockstream/flows/FlowBalancer.h
+++ b/packages/flows/include/burdockstream/flows/FlowBalancer.h
@@ -289,7 +289,8 @@
   void sendTrials(base::TimePoint Now);
   void onHeld(TargetIndex Agent, const FlowKey &Flow, base::TimePoint Now);
   void onNotHeld(TargetIndex Agent, const FlowKey &Flow, base::TimePoint Now);
-  void refuse(const Packet &Packet, DecisionKind Kind, size_t Candidates);
+  void refuse(const Packet &Packet, DecisionKind Kind, size_t Candidates,
+              base::TimePoint Now);
   void sendHellos(base::TimePoint Now);
   void onEvacuationReported(base::SocketAddress Agent,
                             const TargetStatus &Status, base::TimePoint Now);
--- a/packages/flows/src/FlowBalancer.cpp
+++ b/packages/flows/src/FlowBalancer.cpp
@@ -91,7 +91,7 @@
   if (!Route) {
     if (Routes && StoreFresh &&
         isCaughtUp(ViewPart::Routes, ArrivedAt - RefusalViewAge, Now))
-      return refuse(Packet, DecisionKind::RefusedNoRoute, 0);
+      return refuse(Packet, DecisionKind::RefusedNoRoute, 0, Now);
     park(Packet, ParkReason::RoutesOrTarget);
     return reportDecision(DecisionKind::DroppedNoRoute, Packet.Flow, NoTarget,
                           0, Now);
@@ -226,7 +226,7 @@
   if (!Entry.mayBeOpen(Self.CopyTimes, Now) && isSettled(Now) &&
       isCaughtUp(ViewPart::Agents, ArrivedAt - RefusalViewAge, Now))
     return refuse(Packet, DecisionKind::RefusedNoTarget,
-                  Targets.ofService(Service).size());
+                  Targets.ofService(Service).size(), Now);
   // The next attempt considers all targets again.
   Entry.forgetOffers();
   park(Packet, ParkReason::RoutesOrTarget);
@@ -267,10 +267,10 @@
 }
 
 void FlowBalancer::refuse(const Packet &Packet, DecisionKind Kind,
-                          size_t Candidates) {
+                          size_t Candidates, base::TimePoint Now) {
   // Any sequence number is valid before the flow is open.
   Hooks.SendReset(Packet.Flow, 0);
-  reportDecision(Kind, Packet.Flow, NoTarget, Candidates, LastTick);
+  reportDecision(Kind, Packet.Flow, NoTarget, Candidates, Now);
   Flows.erase(Packet.Flow);
 }
 
--- a/packages/flows/src/FlowSearch.cpp
+++ b/packages/flows/src/FlowSearch.cpp
@@ -277,9 +277,10 @@
     return;
   if (Reason != ReturnReason::OldRoutes)
     return place(Packet, *Route, *Entry, Now);
-  // The flow must wait for newer routes. The client sends another copy, unless
-  // the last one was offered in a further round.
-  if (repeatsOffers(Self.OpeningAttempt, Route->Time) &&
+  // Newer routes are about to arrive. Until then the packet is offered again in
+  // intervals, since the client may have sent its last copy. An opening that
+  // the agent may have accepted before stays with it.
+  if (repeatsOffers(Self.OpeningAttempt, Route->Time) && !Entry->MayBeOpen &&
       !park(Packet, ParkReason::OfferInterval))
     endOpening(Packet, *Entry, Now);
 }
--- a/packages/flows/src/RepeatedOffers.cpp
+++ b/packages/flows/src/RepeatedOffers.cpp
@@ -66,7 +66,7 @@
   if (Entry.mayBeOpen(Self.CopyTimes, Now))
     return reportDecision(DecisionKind::GivenUp, Packet.Flow, Entry.Target, 0,
                           Now);
-  refuse(Packet, DecisionKind::RefusedBusy, Entry.Offers);
+  refuse(Packet, DecisionKind::RefusedBusy, Entry.Offers, Now);
 }
 
 } // namespace burdockstream::flows
--- a/packages/flows/test/LoadCountersTest.cpp
+++ b/packages/flows/test/LoadCountersTest.cpp
@@ -164,6 +164,26 @@
   EXPECT_EQ(status().SlotTimeUs, 0U);
 }
 
+// Guards against the same of a target whose failure domain returns from an
+// evacuation, in which it had no work.
+TEST_F(LoadCountersTest, AnEvacuationEndsTheSlotTime) {
+  for (uint16_t Port = 1; Port <= 20; ++Port) {
+    open(Port);
+    accept(Port);
+    request(Port);
+    advance(milliseconds(50));
+    respond(Port);
+  }
+  ASSERT_GT(status().SlotTimeUs, 0U);
+  TargetPolicy Policy;
+  Policy.WarmupFlowsPerSecond = 10;
+  Policy.Evacuation = {1, true};
+  Agent->onPolicy(BalancerAddress, 10, Policy, Now);
+  Policy.Evacuation = {2, false};
+  Agent->onPolicy(BalancerAddress, 10, Policy, Now);
+  EXPECT_EQ(status().SlotTimeUs, 0U);
+}
+
 // Guards against a flow at a reused port that counts neither as open nor as
 // waiting, since the record of the closed flow before it has another sequence.
 TEST_F(LoadCountersTest, AReusedPortIsANewFlow) {
--- a/packages/flows/test/RepeatedOffersTest.cpp
+++ b/packages/flows/test/RepeatedOffersTest.cpp
@@ -217,9 +217,8 @@
   EXPECT_EQ(Sim.Resets.size(), 1U);
 }
 
-// Guards against an opening that is neither offered again nor reset, since
-// agents returned it for the sake of routes that its balancer does not have,
-// and the client had sent its last copy before.
+// Guards against an opening that is neither offered again nor reset, because
+// agents returned it for old routes and the client sends no further copy.
 TEST_F(RepeatedOffersTest, AnOpeningReturnedForOldRoutesIsOfferedAgain) {
   start();
   announceNewerRoutes();
@@ -233,7 +232,8 @@
   EXPECT_NE(Sim.holder(New), -1);
 }
 
-// Guards against the same opening that is not reset at the attempt's end.
+// Guards against an opening, returned for old routes, that is not reset at the
+// end of its attempt.
 TEST_F(RepeatedOffersTest, AnOpeningReturnedForOldRoutesIsResetAtTheEnd) {
   start();
   announceNewerRoutes();
--- a/testing/flow_soak/src/FlowSoak.cpp
+++ b/testing/flow_soak/src/FlowSoak.cpp
@@ -81,8 +81,11 @@
       : File(::open((std::filesystem::temp_directory_path() /
                      "burdockstream-flow-soak.lock")
                         .c_str(),
-                    O_CREAT | O_RDWR | O_CLOEXEC, 0666)) {
+                    O_CREAT | O_RDONLY | O_CLOEXEC, 0666)) {
     PCHECK(File >= 0);
+    if (::flock(File, LOCK_EX | LOCK_NB) == 0)
+      return;
+    LOG(INFO) << "waits for the end of another soak on this machine";
     while (::flock(File, LOCK_EX) != 0)
       PCHECK(errno == EINTR);
   }
