Do not count a returned opening as a flow placed at its target

Symptom: a target that returns openings got fewer new flows than its load allows: each return and further offer before its next status counted as one more flow there.

Cause: placeAt() counts the flows that no status of the target covers yet; only a status lowered the count, a return did not.

Change: a return withdraws the placement unless a status has come since the offer, which covers it.

--- a/packages/flows/include/burdockstream/flows/FlowBalancer.h
+++ b/packages/flows/include/burdockstream/flows/FlowBalancer.h
@@ -280,6 +280,7 @@
   void askAgain(TargetIndex Agent, const Packet &Packet, base::TimePoint Now);
   void onReturned(TargetIndex Agent, ReturnReason Reason, const Packet &Packet,
                   base::TimePoint Now);
+  void withdrawPlacement(TargetIndex Agent, const FlowEntry &Entry);
   void onUndecided(TargetIndex Agent, const FlowKey &Flow, base::TimePoint Now);
   static bool isUndecided(const Search &Running, TargetIndex Agent);
   static size_t firstTrialPacket(const std::vector<OwnedPacket> &Buffered);
--- a/packages/flows/include/burdockstream/flows/FlowEntry.h
+++ b/packages/flows/include/burdockstream/flows/FlowEntry.h
@@ -60,6 +60,19 @@
     OfferedAfterMs = millisecondsSinceFirstCopy(Now);
   }
 
+  // Returns when the opening packet was sent to Target.
+  base::TimePoint offeredAt() const {
+    return FirstCopySentAt + std::chrono::milliseconds(OfferedAfterMs);
+  }
+
+  // Returns whether the offer to To is awaited.
+  bool isPendingAt(TargetIndex To) const {
+    for (size_t I = 0; I < Offers; ++I)
+      if (Offered[I] == To && ((Returned >> I) & 1) == 0)
+        return true;
+    return false;
+  }
+
   // Records that a further copy was sent to the target of a pending offer.
   void recordCopyOffer(base::TimePoint Now) {
     CopyOfferedAfterMs = millisecondsSinceFirstCopy(Now);
--- a/packages/flows/src/FlowSearch.cpp
+++ b/packages/flows/src/FlowSearch.cpp
@@ -270,6 +270,7 @@
   }
   if (!Entry)
     return;
+  withdrawPlacement(Agent, *Entry);
   Entry->recordReturn(Agent, Now);
   // A copy that was offered to another target since may be accepted there.
   const Route *Route = Routes ? Routes->find(Packet.Flow) : nullptr;
@@ -285,6 +286,16 @@
     endOpening(Packet, *Entry, Now);
 }
 
+// Takes an opening packet that Agent returns out of the flows that its next
+// status has to cover, unless a status has come since the offer.
+void FlowBalancer::withdrawPlacement(TargetIndex Agent,
+                                     const FlowEntry &Entry) {
+  Target &From = *Targets.at(Agent);
+  if (Entry.Target == Agent && Entry.isPendingAt(Agent) &&
+      From.LastStatusAt <= Entry.offeredAt() && From.UnreportedFlows > 0)
+    --From.UnreportedFlows;
+}
+
 void FlowBalancer::onHeld(TargetIndex Agent, const FlowKey &Flow,
                           base::TimePoint Now) {
   // Without a search the holder is known already. A late answer may be wrong:
