--- a/packages/flows/src/FlowSearch.cpp
+++ b/packages/flows/src/FlowSearch.cpp
@@ -287,11 +287,13 @@
 }
 
 // Takes an opening packet that Agent returns out of the flows that its next
-// status has to cover, unless a status has come since the offer.
+// status has to cover, unless a status has come since the offer. Without a
+// subscription the count only grows, which spreads openings over targets whose
+// load is unknown.
 void FlowBalancer::withdrawPlacement(TargetIndex Agent,
                                      const FlowEntry &Entry) {
   Target &From = *Targets.at(Agent);
-  if (Entry.Target == Agent && Entry.isPendingAt(Agent) &&
+  if (From.Subscribed && Entry.Target == Agent && Entry.isPendingAt(Agent) &&
       From.LastStatusAt <= Entry.offeredAt() && From.UnreportedFlows > 0)
     --From.UnreportedFlows;
 }
