--- a/packages/flowd/test/CapacityReportsTest.cpp
+++ b/packages/flowd/test/CapacityReportsTest.cpp
@@ -148,7 +148,7 @@
   EXPECT_TRUE(Lines.back()["expected_wait_ms"].isNull());
 }
 
-// Guards against memory that grows with all services that were ever deployed,
+// Guards against a report that grows with all services that were ever deployed,
 // and against the last values of a service that is gone.
 TEST_F(CapacityReportsTest, AServiceWithoutTargetsIsRemoved) {
   list();
--- a/packages/flows/include/burdockstream/flows/BalancerHooks.h
+++ b/packages/flows/include/burdockstream/flows/BalancerHooks.h
@@ -1,4 +1,5 @@
-// What a FlowBalancer is given by its process: its identity and its outputs.
+// The types by which a FlowBalancer and its process exchange data: identity,
+// hooks and the report on a flow.
 #ifndef BURDOCKSTREAM_FLOWS_BALANCERHOOKS_H
 #define BURDOCKSTREAM_FLOWS_BALANCERHOOKS_H
 
--- a/packages/flows/include/burdockstream/flows/FlowDecision.h
+++ b/packages/flows/include/burdockstream/flows/FlowDecision.h
@@ -38,8 +38,8 @@
   // An opening packet was dropped at the request's time limit or, if a target
   // may have accepted it, at the end of the client's attempt.
   GivenUp,
-  // Reset: all targets are busy until the client's attempt ends, or the request
-  // would wait longer than its timeout.
+  // Reset: all targets are busy until the client's attempt ends, the request
+  // would wait longer than its timeout, or no further packet can be parked.
   RefusedBusy,
 };
 inline constexpr size_t DecisionKinds = 18;
@@ -61,8 +61,8 @@
   uint32_t Waiting = 0;    // requests at the target without an answer
   uint32_t Slots = 0;
   base::Duration StatusAge{0}; // age of the target's last status
-  // Of a refused opening: what is left of the route's timeout, counted from the
-  // first copy of this attempt; nullopt if the route has none.
+  // RefusedBusy only: what is left of the route's timeout, counted from the
+  // first copy of this attempt.
   std::optional<base::Duration> TimeLeft;
 };
 
--- a/packages/flows/include/burdockstream/flows/FlowEntry.h
+++ b/packages/flows/include/burdockstream/flows/FlowEntry.h
@@ -60,7 +60,8 @@
     OfferedAfterMs = millisecondsSinceFirstCopy(Now);
   }
 
-  // Returns when the opening packet was sent to Target.
+  // Returns when the opening packet was sent to Target, rounded down to
+  // milliseconds.
   base::TimePoint offeredAt() const {
     return FirstCopySentAt + std::chrono::milliseconds(OfferedAfterMs);
   }
--- a/packages/flows/src/AgentStatus.cpp
+++ b/packages/flows/src/AgentStatus.cpp
@@ -43,7 +43,9 @@
     if (Observed)
       resetAllFlows(Now); // the flows of the earlier run no longer exist
     KnowsAllFlows = Observed;
-    ServiceTime.clear(); // the new run is cold
+    // A new run is cold. If it is older than this process, the estimate was
+    // valid; MinAnswersForEstimate responses restore it.
+    ServiceTime.clear();
     apply(TargetEvent::Replace, "new_run", Now);
   }
   if (Verdict == HeartbeatVerdict::Resumed)
--- a/packages/flows/src/BalancerView.cpp
+++ b/packages/flows/src/BalancerView.cpp
@@ -55,7 +55,7 @@
 void FlowBalancer::requestDueCatchUps(base::TimePoint Now) {
   if (Searches.empty() && Parked.size() == 0)
     for (ViewAge &Each : ViewAges)
-      Each.Wanted = false; // the decisions have been made without
+      Each.Wanted = false; // no decision waits for it any more
   requestCatchUp(ViewPart::Routes, Now);
   requestCatchUp(ViewPart::Agents, Now);
 }
--- a/packages/flows/src/FlowSearch.cpp
+++ b/packages/flows/src/FlowSearch.cpp
@@ -187,7 +187,8 @@
   if (!StoreFresh)
     return true; // finishSearch() does not reset the flow then
   // Another balancer may have learnt of an agent earlier and placed the flow
-  // there.
+  // there. The store is asked only now, since agents hold most flows that reach
+  // the last stage and each request is a call to the store.
   if (!isCaughtUp(ViewPart::Agents, Running.Started, Now) ||
       !queryNextStage(Running, Flow, Now))
     return false;
--- a/packages/flows/test/PlacementCountersTest.cpp
+++ b/packages/flows/test/PlacementCountersTest.cpp
@@ -14,6 +14,7 @@
 class PlacementCountersTest : public ::testing::Test {
 protected:
   void checkRoute(milliseconds Timeout) {
+    // With 20 seeds, placements that counted twice were missed.
     for (uint64_t Seed = 1; Seed <= 100; ++Seed) {
       Random.seed(Seed);
       Sim = Simulation();
--- a/packages/flows/test/RepeatedOffersTest.cpp
+++ b/packages/flows/test/RepeatedOffersTest.cpp
@@ -57,8 +57,8 @@
     Sim.Decisions.clear();
   }
 
-  // Agents learn of routes that the balancer does not have, until they return
-  // its openings.
+  // Lets agents learn of newer routes than the balancer's, and waits for the
+  // end of the grace period, after which they return its openings.
   void announceNewerRoutes() {
     for (SimulatedAgent &Each : Sim.Agents)
       Each.Core->onHello(Sim.Balancers[1].Address, 11, {}, Sim.Now);
