--- a/review/stage-2/ends.py
+++ b/review/stage-2/ends.py
@@ -84,7 +84,8 @@
         self.record(f"endpoint {self.name} has ended")
 
     def holds(self, flow):
-        return self.alive and flow in self.flows
+        return self.alive and flow in self.flows and \
+            not self.flows[flow].get("closing")
 
     def drain(self):
         self.state = "draining"
@@ -161,7 +162,9 @@
         elif packet.data and state["sent"] is not None:
             self._send(flow, ACK, state["next"], *state["sent"])
         if packet.flags & FIN:
-            self._send(flow, ACK, packet.seq + 1, state["seq"])
+            state["closing"] = True
+            self._send(flow, ACK | FIN, packet.seq + 1, state["seq"])
+        elif state.get("closing"):  # the client has the end of both sides
             self.flows.pop(flow)
             self.half.pop(flow, None)
 
@@ -247,6 +250,11 @@
             self.seq += 1
             self.ack = packet.seq + 1
             self._send(ACK)
+        elif packet.flags & FIN and self.state == "closed":
+            self.ack = packet.seq + 1
+            self.seq += 1
+            self._send(ACK)
+            self.state = "ended"
         elif packet.data and self.state == "open":
             self.answers.put_nowait(packet)
 
