--- a/review/stage-2/store.py
+++ b/review/stage-2/store.py
@@ -17,6 +17,7 @@
         self.leases = {}  # number: [ttl in s, end]
         self.next_lease = 100
         self.history = []  # (revision, key, item or None)
+        self.compacted = 0  # the history up to this revision is gone
         self.changed = asyncio.Condition()
 
     async def start(self, address):
@@ -29,6 +30,13 @@
         await self._notify()
         return self.revision
 
+    async def forget_history(self):
+        """Drops the history and cuts the watches that wait."""
+        self.revision += 1
+        self.compacted = self.revision
+        self.history = []
+        await self._notify()
+
     # -- contents
 
     def _write(self, key, value, lease):
@@ -111,6 +119,8 @@
         after, prefix = int(query["after"]), query["prefix"]
         end = time.monotonic() + int(query["wait_timeout_ms"]) / 1000
         while True:
+            if after < self.compacted:
+                return 410, {}
             events = [self._item(k, i) if i else
                       {"key": k, "revision": r, "deleted": True}
                       for r, k, i in self.history
