--- a/review/8/scenario.py
+++ b/review/8/scenario.py
@@ -1,6 +1,6 @@
-"""Rolling restarts of balancers and of agents at the same time: a balancer that
-has just started takes an agent that is being restarted for gone, and resets
-the flows of its endpoint, which lives."""
+"""A client uses a port again after its former flow has ended. The agent of the
+former flow's endpoint answers that it holds the new flow, and then resets it,
+though another endpoint holds it."""
 import asyncio
 import json
 import sys
@@ -14,10 +14,11 @@
 
 LIMITS = {"grace_period_s": 6, "reuse_delay_s": 2,
           "connectivity_threshold_ms": 4000, "flow_lifetime_s": 60}
-RESTART_DELAY_S = 2.5
 BOARD = ("198.18.0.1", 443)
 BALANCERS = (1, 2)
 AGENTS = (1, 2, 3)
+FIRST_AT_S, PORT_REUSE_S = 31, 32
+PORTS = range(30001, 30041)
 CONFIG = {
     "version": 7,
     "routes": [{"name": "board", "host": BOARD[0], "prefix": f"/{BOARD[1]}/",
@@ -35,6 +36,7 @@
     record = deployment.record
     await deployment.store.start(deployment.store_address)
     await deployment.store.put("op/config", json.dumps(CONFIG))
+    agents_at = time.monotonic()
     endpoints = []
     for index in AGENTS:
         deployment.start_agent(index, "zone-a", "shop", BALANCERS)
@@ -45,12 +47,7 @@
         await endpoints[-1].start()
     for index in BALANCERS:
         deployment.start_balancer(index, "zone-a", BALANCERS)
-    await asyncio.sleep(3)
-    breaks = []
-    rotation = list(BALANCERS)
-
-    def route(flow):
-        return deployment.data_address(rotation[flow.port % len(rotation)])
+    rotation, breaks = list(BALANCERS), []
 
     def on_reset(flow, packet):
         held = [e.name for e in endpoints if e.holds(flow.key)]
@@ -60,65 +57,42 @@
             breaks.append(f"flow {flow.key} is open at {held[0]}, which lives, "
                           "and the system has reset it")
 
-    async def check_readiness():
-        misses = {index: 0 for index in BALANCERS}
-        while True:
-            for index in BALANCERS:
-                ready = await deployment.is_ready(index)
-                misses[index] = 0 if ready else misses[index] + 1
-                if ready and index not in rotation:
-                    rotation.append(index)
-                    rotation.sort()
-                    record(f"fabric: balancer-{index} is in rotation")
-                if misses[index] >= 2 and index in rotation and \
-                        len(rotation) > 1:
-                    rotation.remove(index)
-                    record(f"fabric: balancer-{index} is out of rotation")
-            await asyncio.sleep(0.5)
-
-    checks = asyncio.ensure_future(check_readiness())
     clients = Clients(deployment.ip(3, 1), deployment.ports["data"], record,
                       on_reset)
     await clients.start()
-    flows = [clients.flow(BOARD, route) for _ in range(30)]
-    if not all(await asyncio.gather(*(flow.open() for flow in flows))):
-        raise CannotRun("a flow does not open")
-    served = [0]
 
-    async def use(flow):
-        number = 0
-        while flow.state == "open" and time.monotonic() < end:
-            number += 1
-            answer = await flow.request(f"{flow.port} {number};", 8)
-            served[0] += answer is not None
-            if answer is None:
-                record(f"client: request {number} of flow {flow.key} has no "
-                       "answer")
-            await asyncio.sleep(0.3)
-    end = time.monotonic() + 18
-    users = [asyncio.ensure_future(use(flow)) for flow in flows]
+    def route(_flow):
+        return deployment.data_address(rotation[0])
 
-    async def roll_balancers():
-        for index in BALANCERS:
-            await deployment.stop(f"balancer-{index}")
-            await asyncio.sleep(0.5)
-            deployment.start_balancer(index, "zone-a", BALANCERS)
-            await asyncio.sleep(1.5)
-
-    async def roll_agents():
-        await asyncio.sleep(2.48)
-        for index in AGENTS:
-            await deployment.stop(f"agent-{index}")
-            await asyncio.sleep(RESTART_DELAY_S)
-            deployment.start_agent(index, "zone-a", "shop", BALANCERS)
-            await asyncio.sleep(0.3)
+    async def open_all(text):
+        flows = []
+        for port in PORTS:
+            flow = clients.flow(BOARD, route, port)
+            if not await flow.open():
+                raise CannotRun(f"flow {flow.key} does not open")
+            answer = await flow.request(f"{port} {text};", 1.2)
+            if answer is None:
+                raise CannotRun("the first request has no answer")
+            record(f"client: flow {flow.key} ({text}) answered: {answer}")
+            flows.append(flow)
+        return flows
 
-    await asyncio.sleep(1)
+    await asyncio.sleep(agents_at + FIRST_AT_S - time.monotonic())
+    former = await open_all("former")
+    for flow in former:
+        flow.close()
+    await asyncio.sleep(0.5)
+    record(f"{sum(flow.state == 'ended' for flow in former)} of {len(former)} "
+           "former flows have ended at both ends")
+    await asyncio.sleep(PORT_REUSE_S)
+    flows = await open_all("new")
     if trouble:
-        await asyncio.gather(roll_balancers(), roll_agents())
-    await asyncio.gather(*users)
-    checks.cancel()
-    record(f"{served[0]} answers")
+        rotation.reverse()
+        await deployment.stop("balancer-1")
+        deployment.start_balancer(1, "zone-a", BALANCERS)
+    for flow in flows:
+        answer = await flow.request(f"{flow.port} second;", 2.4)
+        record(f"client: flow {flow.key}, second answer: {answer}")
     for each in endpoints:
         each.end()
     return breaks
