Report a failed first read of the store, and how much of a response arrived

Where a failure was logged, "Operation was cancelled" did not tell a store that is silent from an answer that was given up while it arrived.

Change: the body of a response is read part by part, and a time-out names its time and the bytes received. WatchedPrefix reports failures of a mirror that is not synchronized, as store_retry_failed.

--- a/packages/flowd/include/burdockstream/flowd/WatchedPrefix.h
+++ b/packages/flowd/include/burdockstream/flowd/WatchedPrefix.h
@@ -21,6 +21,8 @@
   std::function<void(const store::WatchEvent &)> OnEvent;
   // The connection to the store is lost, with the reason.
   std::function<void(const base::Error &)> OnLost;
+  // A further call has failed, since the start or since OnLost.
+  std::function<void(const base::Error &)> OnRetryFailed;
   // The first successful call, and the first one after OnLost.
   std::function<void()> OnRegained;
 };
--- a/packages/flowd/src/BalancerStoreView.cpp
+++ b/packages/flowd/src/BalancerStoreView.cpp
@@ -17,6 +17,9 @@
     logStoreEvent("store_lost", WatchName, &Reason);
     updateStoreFreshness();
   };
+  Hooks.OnRetryFailed = [this, WatchName](const base::Error &Reason) {
+    logStoreEvent("store_retry_failed", WatchName, &Reason);
+  };
   Hooks.OnRegained = [this, WatchName] {
     logStoreEvent("store_regained", WatchName, nullptr);
     updateStoreFreshness();
--- a/packages/flowd/src/WatchedPrefix.cpp
+++ b/packages/flowd/src/WatchedPrefix.cpp
@@ -85,8 +85,10 @@
 void WatchedPrefix::retry(const base::Error &Reason) {
   CatchUpsDone += CatchUps.size();
   CatchUps.clear();
-  if (std::exchange(Synchronized, false) && Hooks.OnLost)
-    Hooks.OnLost(Reason);
+  const auto &Report =
+      std::exchange(Synchronized, false) ? Hooks.OnLost : Hooks.OnRetryFailed;
+  if (Report)
+    Report(Reason);
   if (RetryTimer != 0)
     return;
   RetryTimer = network::callLater(RetryDelay, [this] {
--- a/packages/http/src/HttpClient.cpp
+++ b/packages/http/src/HttpClient.cpp
@@ -2,6 +2,7 @@
 
 #include "SoupRequest.h"
 
+#include <algorithm>
 #include <glog/logging.h>
 #include <utility>
 
@@ -16,17 +17,29 @@
 // use. With a lower limit, long-lived watches could block short calls.
 constexpr int MaxConnectionsPerHost = 16;
 
+// Bytes that one read of a response's body asks for.
+constexpr size_t ReadBytes = 16 * 1024;
+
+base::TimePoint now() {
+  return base::TimePoint(std::chrono::microseconds(g_get_monotonic_time()));
+}
+
 // State of one pending call. finishCall() deletes it after the callback.
 struct Call {
   std::string Url;
   ResponseCallback Callback;
+  base::TimePoint SentAt{};
   SoupMessage *Message = nullptr;
   GCancellable *Cancellable = nullptr;
+  GInputStream *BodyStream = nullptr;
+  std::string Body = {}; // received so far
   guint TimeoutSource = 0;
+  bool TimedOut = false;
 
   ~Call() {
     if (TimeoutSource != 0)
       g_source_remove(TimeoutSource);
+    g_clear_object(&BodyStream);
     g_clear_object(&Cancellable);
     g_clear_object(&Message);
   }
@@ -35,6 +48,7 @@
 gboolean cancelCall(gpointer Data) {
   auto *Pending = static_cast<Call *>(Data);
   Pending->TimeoutSource = 0;
+  Pending->TimedOut = true;
   g_cancellable_cancel(Pending->Cancellable);
   return G_SOURCE_REMOVE;
 }
@@ -66,25 +80,77 @@
   return Result;
 }
 
-void finishCall(GObject *Source, GAsyncResult *AsyncResult, gpointer Data) {
-  const std::unique_ptr<Call> Pending(static_cast<Call *>(Data));
-  GError *Cause = nullptr;
-  GBytes *Body = soup_session_send_and_read_finish(SOUP_SESSION(Source),
-                                                   AsyncResult, &Cause);
-  if (!Body) {
-    Pending->Callback(internal::transportError(Pending->Url, Cause));
-    g_clear_error(&Cause);
-    return;
-  }
-  gsize Size = 0;
-  const auto *Text = static_cast<const char *>(g_bytes_get_data(Body, &Size));
+// The part of the response that has arrived distinguishes a slow response from
+// a server that does not answer.
+std::string describeProgress(const Call &Pending) {
+  if (!Pending.BodyStream)
+    return "no response";
+  SoupMessageHeaders *Headers =
+      soup_message_get_response_headers(Pending.Message);
+  std::string Text = std::to_string(Pending.Body.size());
+  if (soup_message_headers_get_encoding(Headers) ==
+      SOUP_ENCODING_CONTENT_LENGTH)
+    Text += " of " +
+            std::to_string(soup_message_headers_get_content_length(Headers));
+  return Text + " bytes received";
+}
+
+// Ends the call with a transport error and deletes it.
+void failCall(std::unique_ptr<Call> Pending, GError *Cause) {
+  std::string Reason = Cause ? Cause->message : "no reason given";
+  if (Pending->TimedOut)
+    Reason = "timed out after " +
+             std::to_string(base::toMilliseconds(now() - Pending->SentAt)) +
+             " ms, " + describeProgress(*Pending);
+  auto Failure = internal::transportError(Pending->Url, Cause, Reason);
+  g_clear_error(&Cause);
+  Pending->Callback(std::move(Failure));
+}
+
+void finishCall(std::unique_ptr<Call> Pending) {
   HttpResponse Response{soup_message_get_status(Pending->Message),
-                        std::string(Text ? Text : "", Size),
+                        std::move(Pending->Body),
                         readHeaders(Pending->Message)};
-  g_bytes_unref(Body);
   Pending->Callback(std::move(Response));
 }
 
+void readBody(std::unique_ptr<Call> Pending);
+
+void onBodyRead(GObject *Source, GAsyncResult *AsyncResult, gpointer Data) {
+  std::unique_ptr<Call> Pending(static_cast<Call *>(Data));
+  GError *Cause = nullptr;
+  const gssize Count =
+      g_input_stream_read_finish(G_INPUT_STREAM(Source), AsyncResult, &Cause);
+  Pending->Body.resize(Pending->Body.size() - ReadBytes +
+                       static_cast<size_t>(std::max<gssize>(Count, 0)));
+  if (Count < 0)
+    failCall(std::move(Pending), Cause);
+  else if (Count == 0)
+    finishCall(std::move(Pending));
+  else
+    readBody(std::move(Pending));
+}
+
+void readBody(std::unique_ptr<Call> Pending) {
+  Call &Reading = *Pending.release(); // onBodyRead() owns it again
+  const size_t Received = Reading.Body.size();
+  Reading.Body.resize(Received + ReadBytes);
+  g_input_stream_read_async(Reading.BodyStream, Reading.Body.data() + Received,
+                            ReadBytes, G_PRIORITY_DEFAULT, Reading.Cancellable,
+                            onBodyRead, &Reading);
+}
+
+void onResponseHeaders(GObject *Source, GAsyncResult *AsyncResult,
+                       gpointer Data) {
+  std::unique_ptr<Call> Pending(static_cast<Call *>(Data));
+  GError *Cause = nullptr;
+  Pending->BodyStream =
+      soup_session_send_finish(SOUP_SESSION(Source), AsyncResult, &Cause);
+  if (!Pending->BodyStream)
+    return failCall(std::move(Pending), Cause);
+  readBody(std::move(Pending));
+}
+
 } // namespace
 
 std::optional<std::string> HttpResponse::header(const std::string &Name) const {
@@ -116,15 +182,15 @@
         if (!Alive.expired())
           Done(std::move(Response));
       }};
+  Pending->SentAt = now();
   Pending->Message = internal::newMessage(Request);
   CHECK_NE(Pending->Message, nullptr) << "malformed URL " << Request.Url;
   Pending->Cancellable = g_cancellable_new();
   Pending->TimeoutSource =
       g_timeout_add(static_cast<guint>(base::toMilliseconds(Request.Timeout)),
                     cancelCall, Pending);
-  soup_session_send_and_read_async(Session, Pending->Message,
-                                   G_PRIORITY_DEFAULT, Pending->Cancellable,
-                                   finishCall, Pending);
+  soup_session_send_async(Session, Pending->Message, G_PRIORITY_DEFAULT,
+                          Pending->Cancellable, onResponseHeaders, Pending);
 }
 
 void HttpClient::postJson(const HttpRequest &Request, JsonCallback Callback) {
--- a/packages/http/src/SoupRequest.cpp
+++ b/packages/http/src/SoupRequest.cpp
@@ -61,11 +61,15 @@
 }
 
 base::Error transportError(const std::string &Url, const GError *Cause) {
+  return transportError(Url, Cause, Cause ? Cause->message : "no reason given");
+}
+
+base::Error transportError(const std::string &Url, const GError *Cause,
+                           const std::string &Reason) {
   const bool NotSent =
       g_error_matches(Cause, G_IO_ERROR, G_IO_ERROR_CONNECTION_REFUSED) ||
       g_error_matches(Cause, G_IO_ERROR, G_IO_ERROR_HOST_UNREACHABLE) ||
       g_error_matches(Cause, G_IO_ERROR, G_IO_ERROR_NETWORK_UNREACHABLE);
-  const std::string Reason = Cause ? Cause->message : "no reason given";
   if (NotSent)
     return makeError(ErrorKind::Unavailable,
                      Url + " cannot be reached (" + Reason +
--- a/packages/http/src/SoupRequest.h
+++ b/packages/http/src/SoupRequest.h
@@ -20,6 +20,10 @@
 // to OutcomeUnknown. Cause may be null.
 base::Error transportError(const std::string &Url, const GError *Cause);
 
+// The same with another Reason than that of Cause in the message.
+base::Error transportError(const std::string &Url, const GError *Cause,
+                           const std::string &Reason);
+
 // Parses Text as one JSON value. Errors: Corrupt if it is not JSON.
 base::Result<Json::Value> parseJsonResponse(std::string_view Text);
 
