--- a/packages/http/include/burdockstream/http/HttpClient.h
+++ b/packages/http/include/burdockstream/http/HttpClient.h
@@ -25,6 +25,9 @@
   std::string Value;
 };
 
+// Bounds the memory that a server's response can take.
+inline constexpr size_t DefaultMaxBodyBytes = size_t{16} * 1024 * 1024;
+
 struct HttpRequest {
   std::string Url;
   std::string Body; // sent as application/json, by POST only
@@ -32,6 +35,11 @@
   // From the call to the end of the response; does not apply to streamJson().
   base::Duration Timeout = std::chrono::seconds(2);
   std::string Method = "POST";
+  // If positive, a response may take longer than Timeout as long as at least
+  // MinProgressBytes of it arrive in each StallTimeout (see ResponseDeadline).
+  base::Duration StallTimeout{0};
+  // A longer body ends the call with LimitExceeded.
+  size_t MaxBodyBytes = DefaultMaxBodyBytes;
 };
 
 struct HttpResponse {
@@ -70,8 +78,9 @@
   // Sends Request and returns at once. Calls Callback once from the loop, with
   // a response of any HTTP status or an error, but never after this object is
   // destroyed. Errors: Unavailable if the request was not sent, OutcomeUnknown
-  // if the server may have processed it. Precondition: Request.Url is an http
-  // URL. Thread safety: loop thread only.
+  // if the server may have processed it, LimitExceeded if its response is
+  // longer than MaxBodyBytes. Precondition: Request.Url is an http URL. Thread
+  // safety: loop thread only.
   void send(const HttpRequest &Request, ResponseCallback Callback);
 
   // Sends Request as send() does and parses the response as JSON. Errors: those
--- a/packages/http/src/HttpClient.cpp
+++ b/packages/http/src/HttpClient.cpp
@@ -1,6 +1,7 @@
 #include "burdockstream/http/HttpClient.h"
 
 #include "SoupRequest.h"
+#include "burdockstream/http/ResponseDeadline.h"
 
 #include <algorithm>
 #include <glog/logging.h>
@@ -18,7 +19,7 @@
 constexpr int MaxConnectionsPerHost = 16;
 
 // Bytes that one read of a response's body asks for.
-constexpr size_t ReadBytes = 16 * 1024;
+constexpr size_t ReadBytes = size_t{16} * 1024;
 
 base::TimePoint now() {
   return base::TimePoint(std::chrono::microseconds(g_get_monotonic_time()));
@@ -28,7 +29,9 @@
 struct Call {
   std::string Url;
   ResponseCallback Callback;
-  base::TimePoint SentAt{};
+  base::TimePoint SentAt;
+  ResponseDeadline Deadline;
+  size_t MaxBodyBytes;
   SoupMessage *Message = nullptr;
   GCancellable *Cancellable = nullptr;
   GInputStream *BodyStream = nullptr;
@@ -45,11 +48,25 @@
   }
 };
 
-gboolean cancelCall(gpointer Data) {
+gboolean onTimer(gpointer Data);
+
+// Runs onTimer() when the call's deadline has passed, unless it is extended.
+void startTimer(Call &Pending) {
+  const auto Left = std::chrono::ceil<std::chrono::milliseconds>(
+      std::max(Pending.Deadline.latest() - now(), base::Duration::zero()));
+  Pending.TimeoutSource =
+      g_timeout_add(static_cast<guint>(Left.count()), onTimer, &Pending);
+}
+
+gboolean onTimer(gpointer Data) {
   auto *Pending = static_cast<Call *>(Data);
   Pending->TimeoutSource = 0;
-  Pending->TimedOut = true;
-  g_cancellable_cancel(Pending->Cancellable);
+  if (now() < Pending->Deadline.latest()) {
+    startTimer(*Pending); // extended
+  } else {
+    Pending->TimedOut = true;
+    g_cancellable_cancel(Pending->Cancellable);
+  }
   return G_SOURCE_REMOVE;
 }
 
@@ -80,6 +97,16 @@
   return Result;
 }
 
+// Returns the length of the body that the response's headers give, if any.
+std::optional<size_t> announcedLength(const Call &Pending) {
+  SoupMessageHeaders *Headers =
+      soup_message_get_response_headers(Pending.Message);
+  if (soup_message_headers_get_encoding(Headers) !=
+      SOUP_ENCODING_CONTENT_LENGTH)
+    return std::nullopt;
+  return static_cast<size_t>(soup_message_headers_get_content_length(Headers));
+}
+
 // The part of the response that has arrived distinguishes a slow response from
 // a server that does not answer.
 std::string describeProgress(const Call &Pending) {
@@ -107,6 +134,17 @@
   Pending->Callback(std::move(Failure));
 }
 
+// Ends the call whose body has Length bytes or more, and its connection, which
+// the rest of the body would occupy.
+void refuseBody(std::unique_ptr<Call> Pending, size_t Length) {
+  g_cancellable_cancel(Pending->Cancellable);
+  Pending->Callback(makeError(
+      ErrorKind::LimitExceeded,
+      Pending->Url + " sent a response of " + std::to_string(Length) +
+          " bytes or more, and the limit is " +
+          std::to_string(Pending->MaxBodyBytes) + "; request less at a time"));
+}
+
 void finishCall(std::unique_ptr<Call> Pending) {
   HttpResponse Response{soup_message_get_status(Pending->Message),
                         std::move(Pending->Body),
@@ -127,8 +165,13 @@
     failCall(std::move(Pending), Cause);
   else if (Count == 0)
     finishCall(std::move(Pending));
-  else
+  else if (const size_t Received = Pending->Body.size();
+           Received > Pending->MaxBodyBytes)
+    refuseBody(std::move(Pending), Received);
+  else {
+    Pending->Deadline.onBytes(static_cast<size_t>(Count), now());
     readBody(std::move(Pending));
+  }
 }
 
 void readBody(std::unique_ptr<Call> Pending) {
@@ -148,6 +191,11 @@
       soup_session_send_finish(SOUP_SESSION(Source), AsyncResult, &Cause);
   if (!Pending->BodyStream)
     return failCall(std::move(Pending), Cause);
+  Pending->Deadline.onHeaders(now());
+  const size_t Length = announcedLength(*Pending).value_or(0);
+  if (Length > Pending->MaxBodyBytes)
+    return refuseBody(std::move(Pending), Length);
+  Pending->Body.reserve(Length + ReadBytes);
   readBody(std::move(Pending));
 }
 
@@ -181,14 +229,14 @@
        Done = std::move(Callback)](base::Result<HttpResponse> Response) {
         if (!Alive.expired())
           Done(std::move(Response));
-      }};
-  Pending->SentAt = now();
+      },
+      now(),
+      {now() + Request.Timeout, Request.StallTimeout},
+      Request.MaxBodyBytes};
   Pending->Message = internal::newMessage(Request);
   CHECK_NE(Pending->Message, nullptr) << "malformed URL " << Request.Url;
   Pending->Cancellable = g_cancellable_new();
-  Pending->TimeoutSource =
-      g_timeout_add(static_cast<guint>(base::toMilliseconds(Request.Timeout)),
-                    cancelCall, Pending);
+  startTimer(*Pending);
   soup_session_send_async(Session, Pending->Message, G_PRIORITY_DEFAULT,
                           Pending->Cancellable, onResponseHeaders, Pending);
 }
--- a/packages/http/test/HttpTest.cpp
+++ b/packages/http/test/HttpTest.cpp
@@ -72,6 +72,30 @@
   EXPECT_EQ(Answer.error().Kind, base::ErrorKind::OutcomeUnknown);
 }
 
+// Guards against a response that takes any amount of memory.
+TEST(HttpTest, ALongBodyEndsTheCall) {
+  HttpServer Server(
+      [](const ServerRequest &, const std::shared_ptr<Responder> &Out) {
+        Out->send({200, "text/plain", std::string(1000, 'x')});
+      });
+  ASSERT_TRUE(Server.listen(ServerAddress).has_value());
+  HttpClient Client;
+  for (const size_t Limit : {1000U, 999U, 1000U}) {
+    HttpRequest Request;
+    Request.Url = ServerUrl;
+    Request.MaxBodyBytes = Limit;
+    std::optional<base::Result<HttpResponse>> Answer;
+    Client.send(Request, [&](base::Result<HttpResponse> Response) {
+      Answer = std::move(Response);
+    });
+    runLoopUntil([&] { return Answer.has_value(); });
+    ASSERT_EQ(Answer->has_value(), Limit == 1000U);
+    if (Limit == 999U) {
+      EXPECT_EQ(Answer->error().Kind, base::ErrorKind::LimitExceeded);
+    }
+  }
+}
+
 TEST(HttpTest, StreamsLinesAndReportsTheEnd) {
   std::shared_ptr<Responder> Kept;
   HttpServer Server(
--- a/testing/flow_soak/src/FlowSoak.cpp
+++ b/testing/flow_soak/src/FlowSoak.cpp
@@ -1,6 +1,7 @@
 #include "FlowSoak.h"
 
 #include "CountsCheck.h"
+#include "MachineLock.h"
 #include "Process.h"
 #include "RoutesCheck.h"
 #include "burdockstream/base/Random.h"
@@ -9,13 +10,9 @@
 #include "burdockstream/testing/PlatformStoreStandIn.h"
 
 #include <csignal>
-#include <fcntl.h>
-#include <filesystem>
 #include <fstream>
 #include <glib.h>
 #include <glog/logging.h>
-#include <sys/file.h>
-#include <unistd.h>
 
 namespace burdockstream::flowsoak {
 
@@ -74,29 +71,6 @@
 constexpr milliseconds FinishTime{4'000};
 constexpr milliseconds MetricsTime{1'000};
 
-// Waits until no other soak runs on this machine: all use the same addresses.
-class MachineLock {
-public:
-  MachineLock()
-      : File(::open((std::filesystem::temp_directory_path() /
-                     "burdockstream-flow-soak.lock")
-                        .c_str(),
-                    O_CREAT | O_RDONLY | O_CLOEXEC, 0666)) {
-    PCHECK(File >= 0);
-    if (::flock(File, LOCK_EX | LOCK_NB) == 0)
-      return;
-    LOG(INFO) << "waits for the end of another soak on this machine";
-    while (::flock(File, LOCK_EX) != 0)
-      PCHECK(errno == EINTR);
-  }
-  ~MachineLock() { ::close(File); }
-  MachineLock(const MachineLock &) = delete;
-  MachineLock &operator=(const MachineLock &) = delete;
-
-private:
-  int File;
-};
-
 class Soak {
 public:
   explicit Soak(const SoakOptions &InitOptions)
--- a/testing/flow_soak/src/SoakParts.cpp
+++ b/testing/flow_soak/src/SoakParts.cpp
@@ -124,7 +124,7 @@
       nowMs() - DrainAckedAtMs > DrainBoundMs)
     Found.push_back("an opening packet reached a target that leaves");
   if (Packet->Opens)
-    Accepted.insert(Packet->Flow);
+    Openings += Accepted.insert(Packet->Flow).second ? 1 : 0;
   else if (Accepted.count(Packet->Flow) != 0 &&
            Packet->Acknowledged == sequence())
     Held.try_emplace(Packet->Flow);
--- a/testing/flow_soak/src/SoakParts.h
+++ b/testing/flow_soak/src/SoakParts.h
@@ -60,6 +60,8 @@
   // A new run, which knows nothing of the one before.
   void startAnew();
   bool isRunning() const { return Running; }
+  // Number of flows whose opening packet it has accepted so far.
+  uint64_t openings() const { return Openings; }
   // A flow is held from the first packet that acknowledges this target's
   // answer to the opening one; its copies may reach several targets.
   bool holds(const flows::FlowKey &Flow) const { return Held.count(Flow) != 0; }
@@ -92,6 +94,7 @@
   std::set<flows::FlowKey, FlowOrder> Accepted; // opening packets
   std::map<flows::FlowKey, HeldFlow, FlowOrder> Held;
   std::array<int64_t, Slots> SlotFreeAtMs{};
+  uint64_t Openings = 0;
   uint64_t Sequence = 0;
   int64_t Born = 0;
   bool Running = true;
