Read the newest version of a large value in place of all versions

A watch answers with each version of a value. Over a link that is slower than the changes, each answer holds more versions than the one before, so the configuration in force falls further behind, and the answer has no bound but that of the HTTP client.

A watch that ends so is no lost store: the mirror stays synchronized and reads the keys again after the retry delay.

The stand-in of the store left out superseded events; the store's page says that an event is the item as it was written, so it now keeps and sends each version.

--- a/packages/flowd/include/burdockstream/flowd/WatchedPrefix.h
+++ b/packages/flowd/include/burdockstream/flowd/WatchedPrefix.h
@@ -1,5 +1,10 @@
 // Mirrors all keys with a prefix from the store: reads them, watches them for
 // changes, and reads them again when the watch ends.
+//
+// Load pattern: values of a megabyte that change in quick succession. A watch
+// answers with each version, and a link that is slower than the changes falls
+// further behind with each answer. The store client refuses an answer beyond a
+// few values, and the mirror reads the newest ones instead.
 #ifndef BURDOCKSTREAM_FLOWD_WATCHEDPREFIX_H
 #define BURDOCKSTREAM_FLOWD_WATCHEDPREFIX_H
 
@@ -63,6 +68,8 @@
   void onRead(base::Result<store::RangeReply> Reply);
   void onWatchEnd(const base::Error &Reason);
   void retry(const base::Error &Reason);
+  // Reads all keys after RetryDelay, unless that is scheduled.
+  void scheduleRead();
   void markSynchronized();
   // Passes the requests in CatchUps on to the watch.
   void requestCatchUp();
--- a/packages/flowd/src/WatchedPrefix.cpp
+++ b/packages/flowd/src/WatchedPrefix.cpp
@@ -74,7 +74,13 @@
   });
 }
 
-void WatchedPrefix::onWatchEnd(const base::Error &Reason) { retry(Reason); }
+void WatchedPrefix::onWatchEnd(const base::Error &Reason) {
+  // The changes take more bytes than an answer may have; the keys themselves
+  // take fewer. The store is not lost.
+  if (Reason.Kind == base::ErrorKind::LimitExceeded)
+    return scheduleRead();
+  retry(Reason);
+}
 
 void WatchedPrefix::markSynchronized() {
   RetryDelay = MinRetryDelay;
@@ -89,6 +95,10 @@
       std::exchange(Synchronized, false) ? Hooks.OnLost : Hooks.OnRetryFailed;
   if (Report)
     Report(Reason);
+  scheduleRead();
+}
+
+void WatchedPrefix::scheduleRead() {
   if (RetryTimer != 0)
     return;
   RetryTimer = network::callLater(RetryDelay, [this] {
--- a/testing/platform_standin/include/burdockstream/testing/PlatformStoreStandIn.h
+++ b/testing/platform_standin/include/burdockstream/testing/PlatformStoreStandIn.h
@@ -87,6 +87,7 @@
     std::string Key;
     int64_t Revision = 0;
     bool Deleted = false;
+    Item Written; // as it was written, unless Deleted
   };
   struct Lease {
     int64_t TtlMs = 0;
--- a/testing/platform_standin/src/PlatformStoreStandIn.cpp
+++ b/testing/platform_standin/src/PlatformStoreStandIn.cpp
@@ -340,12 +340,12 @@
   Stored.Lease = LeaseId;
   if (Stored.Created == 0)
     Stored.Created = Current.Revision;
-  Current.History.push_back({Key, Current.Revision, false});
+  Current.History.push_back({Key, Current.Revision, false, Stored});
 }
 
 void PlatformStoreStandIn::erase(const std::string &Key) {
   if (Current.Items.erase(Key) != 0)
-    Current.History.push_back({Key, ++Current.Revision, true});
+    Current.History.push_back({Key, ++Current.Revision, true, {}});
 }
 
 void PlatformStoreStandIn::endLease(int64_t Id) {
@@ -376,17 +376,14 @@
   for (const Event &Each : std::span(Newer, Current.History.end())) {
     if (!Each.Key.starts_with(Waiting.Prefix))
       continue;
-    const auto Found = Current.Items.find(Each.Key);
     Json::Value Entry;
-    Entry["key"] = Each.Key;
-    Entry["revision"] = Json::Int64(Each.Revision);
-    if (Each.Deleted)
+    if (Each.Deleted) {
+      Entry["key"] = Each.Key;
+      Entry["revision"] = Json::Int64(Each.Revision);
       Entry["deleted"] = true;
-    else if (Found != Current.Items.end() &&
-             Found->second.Revision == Each.Revision)
-      Entry = toJson(Each.Key, Found->second);
-    else
-      continue; // a later event of the same key follows
+    } else {
+      Entry = toJson(Each.Key, Each.Written);
+    }
     Body["events"].append(Entry);
   }
   if (Body["events"].empty() && !IsOver)
