Let a peer's state arrive over a small link, and bound what peers request

A balancer that cannot reach the store queries a peer for the routes and agents, with 250 ms for the whole answer. With a configuration of 1 MB the answer takes 1 s of a link of 10 Mbit/s, so the balancer never serves. Besides, 0.2 s behind each large change a balancer on a small link requested the same megabyte from a peer while its own watch received it, and repeated that as often as the query failed.

Change: the answer may take longer while it arrives, ends after 0.5 s without progress, and has 8 MiB at most. One state with routes is requested at a time, and none while an answer of the store arrives; a balancer that has routes requests agents only.

Evidence: LargeConfigurationTest.CallersAreServedByAPeersConfiguration fails without the stall timeout (no answer in 15 s) and passes with it (2.4 s). Bytes on the wire do not change.

--- a/packages/flowd/include/burdockstream/flowd/PeerQueryPolicy.h
+++ b/packages/flowd/include/burdockstream/flowd/PeerQueryPolicy.h
@@ -1,6 +1,7 @@
 // Decides when a balancer queries other balancers for their state, and which
 // ones. A state contains all routes and agents, several tens of kilobytes for
-// hundreds of machines.
+// hundreds of machines, and more than a megabyte with the largest
+// configuration.
 //
 // Load patterns that determine the rules:
 // - All balancers of a fleet start or restart together, and each one discovers
@@ -11,6 +12,10 @@
 //   milliseconds, before most balancers have read it from the store. Therefore
 //   a balancer queries a peer for routes only if its own watch does not deliver
 //   them shortly afterwards, which means that it is cut off from the store.
+// - A configuration of a megabyte takes a second on the link of a small VM, and
+//   longer if a second copy arrives at the same time. Therefore a balancer
+//   requests one state with routes at a time, and none while an answer of the
+//   store arrives.
 #ifndef BURDOCKSTREAM_FLOWD_PEERQUERYPOLICY_H
 #define BURDOCKSTREAM_FLOWD_PEERQUERYPOLICY_H
 
@@ -55,6 +60,16 @@
     Newer = {Revision, Peer, Now + OwnWatchDelay};
   }
 
+  // Returns whether a state with routes may be requested. StoreAnswers: an
+  // answer of the store arrives at the moment.
+  bool mayQueryState(bool StoreAnswers) const {
+    return !StateQueryPending && !StoreAnswers;
+  }
+
+  // Records that a state with routes has been requested, or that this query has
+  // ended.
+  void setStateQueryPending(bool Pending) { StateQueryPending = Pending; }
+
   // Returns the peer to query for routes now, if the balancer's own revision
   // Own is still older after OwnWatchDelay. Returns each recorded peer once.
   std::optional<base::SocketAddress> takeDueRoutesQuery(base::Revision Own,
@@ -82,6 +97,7 @@
   };
   std::set<base::SocketAddress> Queried;
   size_t AnswersWithAgents = 0;
+  bool StateQueryPending = false;
   std::optional<NewerRoutes> Newer;
 };
 
--- a/packages/flowd/src/BalancerDaemon.cpp
+++ b/packages/flowd/src/BalancerDaemon.cpp
@@ -30,6 +30,11 @@
 // down does not answer at all. The timeout is short because the balancer does
 // not reset unknown flows while a query is pending.
 constexpr base::Duration PeerQueryTimeout = std::chrono::milliseconds(250);
+// A state may take longer as long as it arrives, see http::ResponseDeadline.
+constexpr base::Duration PeerStallTimeout = std::chrono::milliseconds(500);
+// A state has routes of 1 MB, which JSON lengthens by a quarter, and 150 bytes
+// an agent.
+constexpr size_t MaxPeerStateBytes = size_t{8} * 1024 * 1024;
 
 constexpr double BytesPerSecondPerMbps = 1e6 / 8;
 
@@ -59,7 +64,8 @@
       Server([this](const http::ServerRequest &Request,
                     const std::shared_ptr<http::Responder> &Out) {
         onRequest(Request, *Out);
-      }) {}
+      }),
+      StateAnswers(Settings.LinkMbps * BytesPerSecondPerMbps) {}
 
 BalancerDaemon::~BalancerDaemon() {
   if (Timer != 0)
@@ -190,8 +196,7 @@
   if (const auto Report = handleReportRequest(Request, reports()))
     return Out.send(*Report);
   if (Request.Path == StatePath || Request.Path == AgentsPath)
-    return Out.send({200, "application/json",
-                     serializeStateForPeers(Request.Path == StatePath)});
+    return sendState(Request.Path == StatePath, Out);
   if (Request.Path == Environment.ReadyPath)
     return Out.send({isReady() ? 200U : 503U, "application/json", "{}"});
   Out.send({404, "text/plain", "no such path\n"});
@@ -236,37 +241,62 @@
   return serializePeerState(State);
 }
 
+void BalancerDaemon::sendState(bool WithRoutes, http::Responder &Out) {
+  std::string State = serializeStateForPeers(WithRoutes);
+  if (WithRoutes && !StateAnswers.admit(State.size(), readClocks().Monotonic)) {
+    Registry.counter("state_answers_refused").add();
+    return Out.send({503, "text/plain",
+                     "the link is busy with answers to other balancers; query "
+                     "another one, or later\n"});
+  }
+  Out.send({200, "application/json", std::move(State)});
+}
+
 void BalancerDaemon::onPeerDiscovered(base::SocketAddress Peer) {
   if (Peer.Ip != Settings.ControlAddress.Ip &&
       PeerQueries.onPeerDiscovered(Peer))
     queryPeer(Peer, AgentsPath);
 }
 
-void BalancerDaemon::queryNextPeer() {
+void BalancerDaemon::queryNextPeer(const char *Path) {
   if (Settings.PeerAddresses.empty())
     return;
   const base::SocketAddress Peer =
       Settings.PeerAddresses[NextPeerIndex++ % Settings.PeerAddresses.size()];
   if (Peer.Ip != Settings.ControlAddress.Ip)
-    queryPeer(Peer, StatePath);
+    queryPeer(Peer, Path);
 }
 
 void BalancerDaemon::queryPeer(base::SocketAddress Peer, const char *Path) {
-  const http::HttpRequest Request{
+  const bool WithRoutes = Path == StatePath;
+  http::HttpRequest Request{
       "http://" + base::toString(Peer) + Path, "", {}, PeerQueryTimeout, "GET"};
+  Request.StallTimeout = PeerStallTimeout;
+  Request.MaxBodyBytes = MaxPeerStateBytes;
   ++PendingPeerQueries;
   Core.setPeersQueried(false);
-  Client.send(Request, [this, Peer](base::Result<http::HttpResponse> Response) {
+  if (WithRoutes)
+    PeerQueries.setStateQueryPending(true);
+  Client.send(Request, [this, Peer, WithRoutes](
+                           const base::Result<http::HttpResponse> &Response) {
     Core.setPeersQueried(--PendingPeerQueries == 0);
-    if (Response.has_value() && Response.value().Status == 200)
-      return applyPeerState(Peer, Response.value().Body);
-    PeerQueries.clearNewerRoutes(); // retry when the next status names them
-    logPeerFailure(Peer, Response.has_error()
-                             ? Response.error().Message
-                             : std::to_string(Response.value().Status));
+    if (WithRoutes)
+      PeerQueries.setStateQueryPending(false);
+    onPeerAnswer(Peer, Response);
   });
 }
 
+void BalancerDaemon::onPeerAnswer(
+    base::SocketAddress Peer,
+    const base::Result<http::HttpResponse> &Response) {
+  if (Response.has_value() && Response.value().Status == 200)
+    return applyPeerState(Peer, Response.value().Body);
+  PeerQueries.clearNewerRoutes(); // retry when the next status names them
+  logPeerFailure(Peer, Response.has_error()
+                           ? Response.error().Message
+                           : std::to_string(Response.value().Status));
+}
+
 void BalancerDaemon::logPeerFailure(base::SocketAddress Peer,
                                     const std::string &Reason) {
   Json::Value Fields;
@@ -289,20 +319,27 @@
     Core.addAgentFromPeer(Each, readClocks().Monotonic);
 }
 
+void BalancerDaemon::queryPeersIfNeeded(base::TimePoint Now) {
+  const bool MayQueryState = PeerQueries.mayQueryState(Store->isReceiving());
+  if (MayQueryState)
+    if (const auto Peer =
+            PeerQueries.takeDueRoutesQuery(Core.routesRevision(), Now))
+      return queryPeer(*Peer, StatePath);
+  const bool NeedsRoutes = !Core.routes() && MayQueryState;
+  const bool NeedsAgents = Core.targets().size() == 0;
+  if ((!NeedsRoutes && !NeedsAgents) ||
+      Now - StartedAt <= PeerQueryStartDelay || Now < NextPeerQueryAt)
+    return;
+  NextPeerQueryAt = Now + PeerQueryInterval;
+  queryNextPeer(NeedsRoutes ? StatePath : AgentsPath);
+}
+
 void BalancerDaemon::tick() {
   const base::Now Now = readClocks();
   Core.tick(Now.Monotonic);
   Capacity.update(Core, Now);
   Log.reportDroppedLines(Now);
-  if (const auto Peer =
-          PeerQueries.takeDueRoutesQuery(Core.routesRevision(), Now.Monotonic))
-    queryPeer(*Peer, StatePath);
-  const bool NeedsPeers = !Core.routes() || Core.targets().size() == 0;
-  if (NeedsPeers && Now.Monotonic - StartedAt > PeerQueryStartDelay &&
-      Now.Monotonic >= NextPeerQueryAt) {
-    NextPeerQueryAt = Now.Monotonic + PeerQueryInterval;
-    queryNextPeer();
-  }
+  queryPeersIfNeeded(Now.Monotonic);
   if (isReady() != LastLoggedReady) {
     LastLoggedReady = !LastLoggedReady;
     Json::Value Fields;
--- a/packages/flowd/src/BalancerDaemon.h
+++ b/packages/flowd/src/BalancerDaemon.h
@@ -10,6 +10,7 @@
 #include "FrameSocket.h"
 #include "burdockstream/flowd/FlowDaemon.h"
 #include "burdockstream/flowd/PeerQueryPolicy.h"
+#include "burdockstream/flowd/StateAnswerLimit.h"
 #include "burdockstream/flowd/WatchedPrefix.h"
 #include "burdockstream/flows/FlowBalancer.h"
 
@@ -58,12 +59,19 @@
   void logStoreRead(const char *WatchName, const store::RangeReply &Reply);
   void logStoreEvent(const char *Event, const char *WatchName,
                      const base::Error *Reason);
-  // Queries the next peer in the settings for its whole state.
-  void queryNextPeer();
+  // Queries a peer for routes or agents that this balancer lacks and the store
+  // does not deliver.
+  void queryPeersIfNeeded(base::TimePoint Now);
+  // Queries the next peer in the settings.
+  void queryNextPeer(const char *Path);
   // Queries a newly discovered peer for its agents, unless enough peers have
   // already sent theirs.
   void onPeerDiscovered(base::SocketAddress Peer);
   void queryPeer(base::SocketAddress Peer, const char *Path);
+  void onPeerAnswer(base::SocketAddress Peer,
+                    const base::Result<http::HttpResponse> &Response);
+  // Answers a peer's query for the state, or refuses it for the moment.
+  void sendState(bool WithRoutes, http::Responder &Out);
   void logPeerFailure(base::SocketAddress Peer, const std::string &Reason);
   void applyPeerState(base::SocketAddress Peer, const std::string &Body);
   std::string serializeStateForPeers(bool WithRoutes) const;
@@ -90,6 +98,7 @@
   http::HttpClient Client;
   std::string RoutesText; // of the routes in force, sent to peers
   PeerQueryPolicy PeerQueries;
+  StateAnswerLimit StateAnswers;
   size_t PendingPeerQueries = 0;
   base::TimePoint StartedAt{};
   base::TimePoint NextPeerQueryAt{};
--- a/packages/flowd/test/PeerQueryPolicyTest.cpp
+++ b/packages/flowd/test/PeerQueryPolicyTest.cpp
@@ -48,6 +48,18 @@
   EXPECT_FALSE(Policy.takeDueRoutesQuery(8, Start + OwnWatchDelay));
 }
 
+// Guards against a second copy of a large configuration on the link that
+// delivers the first one, and against copies that add up.
+TEST(PeerQueryPolicyTest, OneStateAtATimeAndNoneBesideTheStores) {
+  PeerQueryPolicy Policy;
+  EXPECT_TRUE(Policy.mayQueryState(false));
+  EXPECT_FALSE(Policy.mayQueryState(true));
+  Policy.setStateQueryPending(true);
+  EXPECT_FALSE(Policy.mayQueryState(false));
+  Policy.setStateQueryPending(false);
+  EXPECT_TRUE(Policy.mayQueryState(false));
+}
+
 // Guards against a balancer that is cut off from the store and keeps old
 // routes: agents return its opening packets one second after they know newer
 // routes.
--- a/packages/http/include/burdockstream/http/HttpClient.h
+++ b/packages/http/include/burdockstream/http/HttpClient.h
@@ -9,6 +9,7 @@
 
 #include <functional>
 #include <json/value.h>
+#include <map>
 #include <memory>
 #include <optional>
 #include <string>
@@ -68,6 +69,12 @@
   virtual ~HttpStream() = default;
 };
 
+// A response of which nothing has arrived for this long has stalled.
+inline constexpr base::Duration ReceivingTime = std::chrono::milliseconds(200);
+
+// When the last part of each incomplete response was received, by call.
+using IncompleteResponses = std::map<const void *, base::TimePoint>;
+
 class HttpClient {
 public:
   HttpClient();
@@ -83,6 +90,11 @@
   // safety: loop thread only.
   void send(const HttpRequest &Request, ResponseCallback Callback);
 
+  // Returns whether a response to send() arrives: a part of it has been
+  // received within the last ReceivingTime, and more is to come. Thread safety:
+  // loop thread only.
+  bool isReceiving() const;
+
   // Sends Request as send() does and parses the response as JSON. Errors: those
   // of send(); InvalidArgument for an HTTP status from 400 to 499;
   // OutcomeUnknown for a status of 500 or more; Corrupt if the response is not
@@ -102,6 +114,9 @@
 
 private:
   SoupSession *Session;
+  // Shared with pending calls, which may outlive the client.
+  std::shared_ptr<IncompleteResponses> Incomplete =
+      std::make_shared<IncompleteResponses>();
   // Pending calls hold a weak reference; once it has expired, they do not call
   // their callbacks.
   std::shared_ptr<int> LifetimeToken = std::make_shared<int>(0);
--- a/packages/http/src/HttpClient.cpp
+++ b/packages/http/src/HttpClient.cpp
@@ -32,6 +32,7 @@
   base::TimePoint SentAt;
   ResponseDeadline Deadline;
   size_t MaxBodyBytes;
+  std::shared_ptr<IncompleteResponses> Incomplete;
   SoupMessage *Message = nullptr;
   GCancellable *Cancellable = nullptr;
   GInputStream *BodyStream = nullptr;
@@ -40,6 +41,7 @@
   bool TimedOut = false;
 
   ~Call() {
+    Incomplete->erase(this);
     if (TimeoutSource != 0)
       g_source_remove(TimeoutSource);
     g_clear_object(&BodyStream);
@@ -169,7 +171,9 @@
            Received > Pending->MaxBodyBytes)
     refuseBody(std::move(Pending), Received);
   else {
-    Pending->Deadline.onBytes(static_cast<size_t>(Count), now());
+    const base::TimePoint Now = now();
+    Pending->Deadline.onBytes(static_cast<size_t>(Count), Now);
+    Pending->Incomplete->insert_or_assign(Pending.get(), Now);
     readBody(std::move(Pending));
   }
 }
@@ -232,7 +236,8 @@
       },
       now(),
       {now() + Request.Timeout, Request.StallTimeout},
-      Request.MaxBodyBytes};
+      Request.MaxBodyBytes,
+      Incomplete};
   Pending->Message = internal::newMessage(Request);
   CHECK_NE(Pending->Message, nullptr) << "malformed URL " << Request.Url;
   Pending->Cancellable = g_cancellable_new();
@@ -241,6 +246,13 @@
                           Pending->Cancellable, onResponseHeaders, Pending);
 }
 
+bool HttpClient::isReceiving() const {
+  return std::any_of(Incomplete->begin(), Incomplete->end(),
+                     [Now = now()](const auto &Each) {
+                       return Now - Each.second < ReceivingTime;
+                     });
+}
+
 void HttpClient::postJson(const HttpRequest &Request, JsonCallback Callback) {
   send(Request, [Url = Request.Url, Done = std::move(Callback)](
                     base::Result<HttpResponse> Response) {
--- a/packages/store/include/burdockstream/store/Store.h
+++ b/packages/store/include/burdockstream/store/Store.h
@@ -138,6 +138,10 @@
   // call, this includes the call's own answer. A lease belongs to the era in
   // which it was granted; a later one may give its number to another process.
   virtual base::Era era() const { return base::FirstEra; }
+
+  // Returns whether an answer of the store that takes long arrives at the
+  // moment. Thread safety: loop thread only.
+  virtual bool isReceiving() const { return false; }
 };
 
 } // namespace burdockstream::store
--- a/testing/flow_soak/test/LargeConfigurationTest.cpp
+++ b/testing/flow_soak/test/LargeConfigurationTest.cpp
@@ -20,6 +20,8 @@
 constexpr base::SocketAddress CallerAddress{0xC6120001, 443};
 constexpr base::SocketAddress StoreAddress{0x7F140001, 18169};
 constexpr base::SocketAddress LinkAddress{0x7F140002, 18169};
+constexpr base::SocketAddress PeerLinkAddress{0x7F140003, 18169};
+constexpr base::SocketAddress NoStoreAddress{0x7F140004, 18169};
 constexpr double LinkBytesPerSecond = 1.25e6; // 10 Mbit/s
 constexpr size_t IdleRoutes = 5'600;          // about 1 MB
 
@@ -72,7 +74,7 @@
       ADD_FAILURE() << Each;
   }
 
-  void startDaemons() {
+  void startAgents() {
     for (size_t I = 0; I < 2; ++I)
       start(common("agent", 2, I, StoreAddress) + R"("agent":{"service":")" +
             Services[I] + R"(","target_address":)" +
@@ -80,14 +82,27 @@
             quoted(place(2, I, OutboundPort)) + R"(,"heartbeat_address":)" +
             quoted(place(2, I, HeartbeatPort)) +
             R"(,"heartbeat_interval_ms":400,"address_reuse_delay_s":2}})");
-    start(common("balancer", 1, 0, LinkAddress) + R"("ready_address":)" +
-          quoted(place(1, 0, ReadyPort)) + R"(,"link_mbps":10,"peers":[]})");
   }
 
-  void startClients() {
+  // Peer is the balancer's only peer.
+  void startBalancer(size_t I, base::SocketAddress StoreAt,
+                     base::SocketAddress Peer) {
+    start(common("balancer", 1, I, StoreAt) + R"("ready_address":)" +
+          quoted(place(1, I, ReadyPort)) + R"(,"link_mbps":10,"peers":[)" +
+          quoted(Peer) + "]}");
+  }
+
+  void startDaemons() {
+    startAgents();
+    startBalancer(0, LinkAddress, place(1, 0, ControlPort));
+  }
+
+  void startClients(size_t Balancer = 0) {
     Clients = std::make_unique<SoakClients>(
         4, std::vector{CallerAddress},
-        [](const flows::FlowKey &) { return place(1, 0, DataPort); },
+        [Balancer](const flows::FlowKey &) {
+          return place(1, Balancer, DataPort);
+        },
         [this](const flows::FlowKey &Flow) {
           return Targets[0]->holds(Flow) || Targets[1]->holds(Flow);
         },
@@ -172,5 +187,20 @@
   EXPECT_EQ(Targets[0]->openings(), Former);
 }
 
+// Guards against a balancer that can reach no store and never gets the
+// configuration from its peer, whose answer takes longer than the time-out of a
+// query.
+TEST_F(LargeConfigurationTest, CallersAreServedByAPeersConfiguration) {
+  testing::LinkStandIn ToPeer(place(1, 0, ControlPort), LinkBytesPerSecond);
+  ASSERT_TRUE(ToPeer.listen(PeerLinkAddress));
+  Store.put("op/config", configuration(7, "shop"));
+  startAgents();
+  startBalancer(0, StoreAddress, place(1, 0, ControlPort));
+  runUntil(std::chrono::seconds(1), [] { return false; });
+  startBalancer(1, NoStoreAddress, PeerLinkAddress);
+  startClients(1);
+  EXPECT_TRUE(runUntil(RecoveryTime, [&] { return Clients->answers() > 0; }));
+}
+
 } // namespace
 } // namespace burdockstream::flowsoak
