Let answers of an etcd store arrive over a small link

ALargeValueIsReadOverASmallLink, 1 MB over 10 Mbit/s with a time-out of 500 ms, fails before the change ("timed out") and passes with it. The stream of a watch has no such limit.

--- a/packages/store/include/burdockstream/store/StoreClient.h
+++ b/packages/store/include/burdockstream/store/StoreClient.h
@@ -40,7 +40,9 @@
 class StoreClient : public Store {
 public:
   // Each call goes to the selected endpoint; a failure selects the next one for
-  // later calls. Precondition: InitEndpoints is not empty.
+  // later calls. A call fails if it has no answer after InitTimeout, or one
+  // that stops arriving for that long. Precondition: InitEndpoints is not
+  // empty.
   StoreClient(std::vector<base::SocketAddress> InitEndpoints,
               base::Duration InitTimeout);
 
--- a/packages/store/src/StoreClient.cpp
+++ b/packages/store/src/StoreClient.cpp
@@ -90,8 +90,8 @@
 
 void StoreClient::call(const std::string &Path, const Json::Value &Body,
                        http::JsonCallback Callback) {
-  const http::HttpRequest Request{
-      url(Path), base::compactJson(Body), {}, Timeout};
+  http::HttpRequest Request{url(Path), base::compactJson(Body), {}, Timeout};
+  Request.StallTimeout = Timeout;
   Client.postJson(Request, [this, Done = std::move(Callback)](
                                Result<Json::Value> Response) {
     if (Response.has_error())
