Start anew with the offers of an opening at a reused port

A balancer keeps the entry of a flow for as long as an idle flow may last. A client that uses the port again sends an opening packet with the same key, and the targets that the former flow was offered to counted as asked. Where offers are repeated, the time since the first copy told the two flows apart; elsewhere nothing did, and with all targets asked the opening was reset although a target was free.

Change: the entry keeps the sequence number of the opening packet.

The simulation of the flow tests now gives each target sequence numbers of its own, which clients acknowledge as they do on the platform; the tests of repeated offers acknowledge them too. No expectation was changed.

--- a/packages/flows/include/burdockstream/flows/FlowEntry.h
+++ b/packages/flows/include/burdockstream/flows/FlowEntry.h
@@ -40,9 +40,18 @@
   // copy that was sent to the same target; 0: none.
   uint16_t OfferedAfterMs = 0;
   uint16_t CopyOfferedAfterMs = 0;
+  // Sequence number of the client's opening packet; nothing if this balancer
+  // has not received any.
+  std::optional<uint32_t> OpeningSequence;
   // When the client sent the first copy of its opening packet.
   base::TimePoint FirstCopySentAt{};
 
+  // Returns whether an opening packet with Sequence opens another flow: a
+  // client that uses a port again starts with another number.
+  bool isOfFormerFlow(uint32_t Sequence) const {
+    return OpeningSequence && *OpeningSequence != Sequence;
+  }
+
   // Returns whether the answer to an offer is awaited.
   bool hasPendingOffer() const { return Returned != allOffers(); }
   // Returns the last target with a pending offer. Precondition: there is one.
--- a/packages/flows/src/FlowBalancer.cpp
+++ b/packages/flows/src/FlowBalancer.cpp
@@ -99,12 +99,15 @@
   FlowEntry *Known = Flows.use(Packet.Flow);
   const base::TimePoint FirstCopySentAt = ArrivedAt - Packet.SinceFirstCopy;
   const bool Reused =
-      Known && !Replaying && repeatsOffers(Self.OpeningAttempt, Route->Time) &&
-      FirstCopySentAt - Known->FirstCopySentAt >= Self.OpeningAttempt;
+      Known && !Replaying &&
+      (Known->isOfFormerFlow(Packet.Sequence) ||
+       (repeatsOffers(Self.OpeningAttempt, Route->Time) &&
+        FirstCopySentAt - Known->FirstCopySentAt >= Self.OpeningAttempt));
   if (!Known || Reused) {
     // The offers of a former flow at the same port are over.
     Known = &Flows.insert(Packet.Flow);
     *Known = FlowEntry();
+    Known->OpeningSequence = Packet.Sequence;
     // Another balancer may have forwarded the first copy, and a target may have
     // accepted it.
     Known->MayBeOpen = Packet.Acknowledged != 0;
--- a/packages/flows/test/FlowFixture.cpp
+++ b/packages/flows/test/FlowFixture.cpp
@@ -10,6 +10,8 @@
 constexpr uint32_t AgentIps = 0x0A010000;
 constexpr uint32_t BalancerIps = 0x0A020000;
 constexpr uint16_t DaemonPort = 7000;
+// Spreads the numbers at which flows start over all 32 bits.
+constexpr uint32_t SequenceStep = 0x9E3779B1;
 constexpr uint8_t DataByte = 0xFF; // four of them are not a valid index
 
 std::pair<uint64_t, uint64_t> keyOf(const FlowKey &Flow) {
@@ -115,7 +117,10 @@
     std::vector<uint8_t> Copy(Bytes.begin(), Bytes.end());
     receiveAtTarget(Place, Registry.read(Copy));
   };
-  Hooks.SendToClient = [](const FlowKey &, std::span<const uint8_t>) {};
+  Hooks.SendToClient = [this](const FlowKey &, std::span<const uint8_t> Bytes) {
+    std::vector<uint8_t> Copy(Bytes.begin(), Bytes.end());
+    onClientReceived(Registry.read(Copy));
+  };
   Hooks.SendReset = [this](const FlowKey &Flow, uint32_t) {
     Resets.push_back(Flow);
   };
@@ -214,8 +219,11 @@
   Packet Value;
   Value.Flow = Flow;
   Value.Opens = true;
+  Value.Sequence = OpeningSequence;
   Value.Acknowledged = Copy;
   Value.SinceFirstCopy = SinceFirstCopy;
+  if (Copy == 0)
+    Acknowledged.erase(keyOf(Flow));
   Balancers[Balancer].Core->onClientPacket(Registry.write(Value), Now);
   deliverFrames();
 }
@@ -225,10 +233,49 @@
   Packet Value;
   Value.Flow = Flow;
   Value.DataBytes = DataBytes;
+  sendPacket(Balancer, Value);
+}
+
+void Simulation::sendEnd(size_t Balancer, const FlowKey &Flow, bool Aborts) {
+  Packet Value;
+  Value.Flow = Flow;
+  Value.Finishes = !Aborts;
+  Value.Aborts = Aborts;
+  sendPacket(Balancer, Value);
+}
+
+void Simulation::sendPacket(size_t Balancer, Packet Value) {
+  Value.Acknowledged = acknowledged(Value.Flow);
   Balancers[Balancer].Core->onClientPacket(Registry.write(Value), Now);
   deliverFrames();
 }
 
+uint32_t Simulation::acknowledged(const FlowKey &Flow) const {
+  const auto Known = Acknowledged.find(keyOf(Flow));
+  return Known == Acknowledged.end() ? 0 : Known->second;
+}
+
+// A client chooses the first target that accepts its flow, and acknowledges
+// what that one has sent.
+void Simulation::onClientReceived(const Packet &Received) {
+  const uint32_t Next =
+      Received.Sequence + Received.DataBytes + (Received.Accepts ? 1 : 0);
+  const auto [Known, Added] =
+      Acknowledged.try_emplace(keyOf(Received.Flow), Next);
+  if (!Added && !Received.Accepts)
+    Known->second = Next;
+}
+
+void Simulation::finishAtTarget(size_t Agent, const FlowKey &Flow) {
+  SimulatedAgent &Place = Agents[Agent];
+  Packet End;
+  End.Flow = Flow;
+  End.Finishes = true;
+  End.Sequence = Place.Target.Held.at(keyOf(Flow));
+  Place.Core->onTargetPacket(Registry.write(End, Sender::Target), Now);
+  deliverFrames();
+}
+
 int Simulation::holder(const FlowKey &Flow) const {
   for (size_t I = 0; I < Agents.size(); ++I)
     if (Agents[I].Target.Held.count(keyOf(Flow)) != 0)
@@ -306,6 +353,10 @@
   Packet Answer = Arrived;
   const auto Key = keyOf(Arrived.Flow);
   const bool Holds = Place.Target.Held.count(Key) != 0;
+  if (Arrived.Aborts && Holds) {
+    Place.Target.Held.erase(Key);
+    return;
+  }
   if ((Arrived.Opens && Place.Target.Full && !Holds) ||
       (!Arrived.Opens && !Holds)) {
     if (!Arrived.Opens)
@@ -314,15 +365,22 @@
     return Place.Core->onTargetPacket(Registry.write(Answer), Now);
   }
   if (Arrived.Opens && !Holds) {
-    Place.Target.Held.insert(Key);
+    // Each target starts elsewhere, and each of its flows too.
+    const auto Started = ++NextSequence * SequenceStep;
+    Place.Target.Held[Key] = Started + 1;
     Place.Target.Opened.push_back(Arrived.Flow);
   }
   if (Arrived.DataBytes > 0)
     ++Place.Target.Requests;
   if (Place.Target.Unresponsive && Arrived.DataBytes > 0)
     return;
+  uint32_t &Next = Place.Target.Held[Key];
   Answer.Opens = false;
   Answer.Accepts = Arrived.Opens;
+  Answer.Sequence = Arrived.Opens ? Next - 1 : Next;
+  Answer.Finishes = false;
+  if (!Arrived.Opens)
+    Next += Answer.DataBytes;
   if (Place.Target.Aborts && Arrived.DataBytes > 0) {
     ++Place.Target.Aborted;
     Place.Target.Held.erase(Key);
--- a/packages/flows/test/FlowFixture.h
+++ b/packages/flows/test/FlowFixture.h
@@ -41,7 +41,8 @@
 
 // A fake target. It returns packets of flows that it does not hold.
 struct FakeTarget {
-  std::set<std::pair<uint64_t, uint64_t>> Held;
+  // Flows that it holds, with the next sequence number that it uses in each.
+  std::map<std::pair<uint64_t, uint64_t>, uint32_t> Held;
   std::vector<FlowKey> Opened; // in order of arrival
   // Flows of returned packets other than opening ones.
   std::vector<FlowKey> ReturnedPackets;
@@ -101,12 +102,19 @@
   void open(size_t Balancer, const FlowKey &Flow, uint32_t Copy = 0,
             base::Duration SinceFirstCopy = base::Duration(0));
   void send(size_t Balancer, const FlowKey &Flow, uint16_t DataBytes = 100);
+  // Sends the client's end of the flow, or its reset.
+  void sendEnd(size_t Balancer, const FlowKey &Flow, bool Aborts = false);
+  // The target of Agent sends its end of the flow.
+  void finishAtTarget(size_t Agent, const FlowKey &Flow);
   // Opens a flow and sends its first request, as a client does.
   void openAndRequest(size_t Balancer, const FlowKey &Flow) {
     open(Balancer, Flow);
     send(Balancer, Flow);
   }
 
+  // What the client of Flow acknowledges, 0 if nothing was accepted.
+  uint32_t acknowledged(const FlowKey &Flow) const;
+
   // Index of the agent whose target holds Flow, or -1.
   int holder(const FlowKey &Flow) const;
 
@@ -140,6 +148,8 @@
   double LinkBytesPerSecond = 125e6;
   base::Duration OpeningAttempt{0};
   std::vector<base::Duration> CopyTimes;
+  // Clients' sequence number of opening packets from now on.
+  uint32_t OpeningSequence = 0;
   PacketRegistry Registry;
   base::TimePoint Now = base::TimePoint(std::chrono::seconds(100));
 
@@ -159,9 +169,15 @@
   void deliverToBalancer(SimulatedBalancer &Place, Frame &Delivered);
   void receiveAtTarget(SimulatedAgent &Place, const Packet &Arrived);
 
+  void sendPacket(size_t Balancer, Packet Value);
+  void onClientReceived(const Packet &Received);
+
   std::deque<Frame> Frames;
+  // What each client acknowledges, by flow.
+  std::map<std::pair<uint64_t, uint64_t>, uint32_t> Acknowledged;
   std::vector<std::string> Domains; // of the balancers
   uint64_t NextIncarnation = 1;
+  uint32_t NextSequence = 0; // in steps of SequenceStep
 };
 
 } // namespace burdockstream::flows::test
--- a/packages/flows/test/RepeatedOffersTest.cpp
+++ b/packages/flows/test/RepeatedOffersTest.cpp
@@ -50,6 +50,7 @@
         deliver(Place, Value);
         Value.Opens = false;
         Value.DataBytes = 100;
+        Value.Acknowledged = Sim.acknowledged(Value.Flow);
         deliver(Place, Value);
       }
     }
