--- a/packages/flows/include/burdockstream/flows/FlowAgent.h
+++ b/packages/flows/include/burdockstream/flows/FlowAgent.h
@@ -17,6 +17,7 @@
 #include "burdockstream/flows/HeldOpenings.h"
 #include "burdockstream/flows/OutlierEjection.h"
 #include "burdockstream/flows/Packet.h"
+#include "burdockstream/flows/SequenceRange.h"
 #include "burdockstream/flows/ServiceTimeEstimate.h"
 #include "burdockstream/flows/TargetStatus.h"
 #include "burdockstream/flows/WarmupLimit.h"
@@ -246,6 +247,11 @@
     bool Opening = false; // its first request has not arrived yet
     // The target has closed its side, or the client has reset the flow.
     bool Closing = false;
+    bool ClosedByClient = false; // it has closed its side or reset the flow
+    // Of the client's opening packet and its copies; nothing if the agent has
+    // not seen any.
+    std::optional<uint32_t> OpeningSequence;
+    SequenceRange Sent; // by the target
   };
   struct Balancer {
     base::SocketAddress Address;
@@ -255,7 +261,8 @@
   // A trial delivery: a packet was passed to the target to find out whether the
   // target holds its flow.
   struct Trial {
-    uint16_t Balancer = 0;       // index in Senders
+    uint16_t Balancer = 0; // index in Senders
+    uint32_t Acknowledged = 0;
     std::vector<uint8_t> Header; // of the client's packet, for the answer
   };
   enum class Audience : uint8_t { Local, All };
@@ -269,6 +276,9 @@
   std::span<const uint8_t> headerOf(const Packet &Packet) const;
   FrameKind lookUpFlow(const Packet &Packet);
   bool knowsNotHeld(const FlowKey &Flow);
+  bool deniesFlow(const Packet &Packet, const FlowRecord &Record);
+  static bool belongsTo(const Packet &Packet, const FlowRecord &Record);
+  static bool isCopyOf(const Packet &Opening, const FlowRecord &Record);
   void onTrial(base::SocketAddress From, const Packet &Packet,
                base::TimePoint Now);
   void deliverOpening(base::SocketAddress From, const FrameHeader &Header,
--- a/packages/flows/src/AgentOpenings.cpp
+++ b/packages/flows/src/AgentOpenings.cpp
@@ -26,6 +26,13 @@
   return ReturnReason::None;
 }
 
+// Returns whether Opening is a copy of the opening packet of Record, as far as
+// the agent knows: a client starts each flow with another sequence number.
+bool FlowAgent::isCopyOf(const Packet &Opening, const FlowRecord &Record) {
+  return !Record.Closing &&
+         Record.OpeningSequence.value_or(Opening.Sequence) == Opening.Sequence;
+}
+
 void FlowAgent::onOpening(base::SocketAddress From, const FrameHeader &Header,
                           const Packet &Packet, base::TimePoint Now) {
   const ReturnReason Reason = checkOpening(Header, Now);
@@ -33,7 +40,7 @@
     return returnOpening(From, Header, Packet, Reason, Now);
   // A further copy of a delivered opening packet must not wait behind others.
   const FlowRecord *Known = Flows.use(Packet.Flow);
-  const bool IsCopy = Known && !Known->Closing;
+  const bool IsCopy = Known && isCopyOf(Packet, *Known);
   const auto Urgency = urgencyOf(load(), Header.Time);
   if ((admits(load(), Urgency) && warmupAdmits(Now)) || IsCopy)
     return deliverOpening(From, Header, Packet, Now);
@@ -62,13 +69,15 @@
 void FlowAgent::deliverOpening(base::SocketAddress From,
                                const FrameHeader &Header, const Packet &Packet,
                                base::TimePoint Now) {
-  // The client has reused the port of a closed flow, whose sequence numbers and
+  // The client has reused the port of a former flow, whose sequence numbers and
   // counters do not apply to the new one.
-  if (const FlowRecord *Old = Flows.use(Packet.Flow); Old && Old->Closing)
+  if (const FlowRecord *Old = Flows.use(Packet.Flow);
+      Old && !isCopyOf(Packet, *Old))
     forget(Packet.Flow);
   if (Now < WarmupEnd && !Flows.use(Packet.Flow))
     Warmup.record(Now);
   FlowRecord &Record = Flows.insert(Packet.Flow);
+  Record.OpeningSequence = Packet.Sequence;
   Record.Class = static_cast<WorkClass>(
       std::min<size_t>(Header.WorkClass, WorkClasses - 1));
   Held.erase(Packet.Flow);
--- a/packages/flows/src/AgentSearches.cpp
+++ b/packages/flows/src/AgentSearches.cpp
@@ -11,12 +11,32 @@
       std::min(Packet.Bytes.size(), Options.PacketHeaderBytes));
 }
 
+// Returns whether a client's Packet may be one of the flow of Record, rather
+// than of another flow with the same key: the client uses the port again, or
+// another target has accepted a copy of the opening packet too.
+bool FlowAgent::belongsTo(const Packet &Packet, const FlowRecord &Record) {
+  return Record.Sent.contains(Packet.Acknowledged) &&
+         (Record.Sent.isUnambiguous() || !Record.Closing);
+}
+
+// Returns whether the target cannot hold the flow of a client's Packet, since
+// it has sent packets of another flow with the same key, that of Record.
+bool FlowAgent::deniesFlow(const Packet &Packet, const FlowRecord &Record) {
+  return Record.Sent.excludes(Packet.Acknowledged) ||
+         (!belongsTo(Packet, Record) && knowsNotHeld(Packet.Flow));
+}
+
 // Returns the kind of frame that answers whether the target holds the flow. The
 // service that a search names is no evidence: it is that of the target as far
 // as the balancer knows.
 FrameKind FlowAgent::lookUpFlow(const Packet &Packet) {
-  if (State != TargetState::Stopped && Flows.use(Packet.Flow))
-    return FrameKind::Held;
+  const FlowRecord *Record = Flows.use(Packet.Flow);
+  if (State != TargetState::Stopped && Record) {
+    if (belongsTo(Packet, *Record))
+      return FrameKind::Held;
+    if (deniesFlow(Packet, *Record))
+      return FrameKind::NotHeld;
+  }
   return knowsNotHeld(Packet.Flow) ? FrameKind::NotHeld : FrameKind::Undecided;
 }
 
@@ -44,18 +64,23 @@
     return answer(From, Known, ReturnReason::None, headerOf(Packet));
   const auto FlowHeader = headerOf(Packet);
   Trials.insert(Packet.Flow) = {balancerIndex(From),
+                                Packet.Acknowledged,
                                 {FlowHeader.begin(), FlowHeader.end()}};
   TrialStartTimes.add(Packet.Flow, Now);
   deliver(From, Packet, true);
 }
 
-// Ends a trial with the answer that the target holds the flow. Does nothing
-// without a pending trial of the flow.
+// Ends a trial whose packet was not returned: the target holds the flow, unless
+// the packet belongs to another one than the target has sent packets of. Does
+// nothing without a pending trial of the flow.
 void FlowAgent::completeTrial(const FlowKey &Flow) {
   const Trial *Done = Trials.use(Flow);
   if (!Done)
     return; // the packet was returned, or the trial has ended
-  answer(Senders[Done->Balancer], FrameKind::Held, ReturnReason::None,
+  const FlowRecord *Record = Flows.use(Flow);
+  const bool OfAnother = Record && Record->Sent.excludes(Done->Acknowledged);
+  answer(Senders[Done->Balancer],
+         OfAnother ? FrameKind::NotHeld : FrameKind::Held, ReturnReason::None,
          Done->Header);
   Trials.erase(Flow);
 }
--- a/packages/flows/src/FlowAgent.cpp
+++ b/packages/flows/src/FlowAgent.cpp
@@ -69,8 +69,15 @@
       knowsNotHeld(Packet.Flow))
     return answer(From, FrameKind::Returned, ReturnReason::OtherService,
                   Packet.Bytes);
-  if (Record)
+  // The balancer's entry is that of a former flow with the same key. The target
+  // would answer data of an ended flow with a reset.
+  if (Record && !Packet.Aborts && deniesFlow(Packet, *Record))
+    return answer(From, FrameKind::Returned, ReturnReason::NotHeld,
+                  Packet.Bytes);
+  if (Record) {
     recordRequest(*Record, Packet, Now);
+    Record->ClosedByClient = Record->ClosedByClient || Packet.Finishes;
+  }
   deliver(From, Packet, false);
   if (!Packet.Aborts)
     return;
@@ -153,8 +160,16 @@
     return onReturned(Packet, Now);
   FlowRecord &Record = Flows.insert(Packet.Flow);
   // The target had sent this packet before it received the client's reset.
-  Record.Closing = Record.Closing || ResetByClient.use(Packet.Flow);
-  completeTrial(Packet.Flow);
+  if (ResetByClient.use(Packet.Flow))
+    Record.Closing = Record.ClosedByClient = true;
+  if (Packet.Accepts)
+    Record.Sent.start(Packet.Sequence, !KnowsAllFlows);
+  else if (!Packet.Aborts)
+    Record.Sent.extend(Packet.Sequence,
+                       Packet.DataBytes + (Packet.Finishes ? 1U : 0U));
+  if (const Trial *Pending = Trials.use(Packet.Flow);
+      Pending && Record.Sent.contains(Pending->Acknowledged))
+    completeTrial(Packet.Flow);
   if (!Packet.Accepts && !Packet.Aborts) {
     Record.Open = true;
     // The target still acknowledges the client's end after its own. An agent
@@ -199,7 +214,7 @@
   const base::SocketAddress From = Senders[Index];
   Hooks.Stamp(Packet.Bytes, 0);
   const FlowRecord *Record = Flows.use(Packet.Flow);
-  const bool WasOpen = Record && Record->Open;
+  const bool WasOpen = Record && Record->Open && belongsTo(Packet, *Record);
   forget(Packet.Flow);
   if (Packet.Opens)
     return answer(From, FrameKind::Returned, ReturnReason::Refused,
@@ -207,7 +222,7 @@
   NotHeld.insert(Packet.Flow) = true;
   Trials.erase(Packet.Flow);
   if (WasOpen) {
-    // The flow was open at this target, so no other target can hold it.
+    // This flow was open at this target, so no other target can hold it.
     Hooks.SendReset(Packet.Flow, Packet.Acknowledged);
     return reportDecision(DecisionKind::ResetLost, ReturnReason::NotHeld,
                           Packet.Flow, From, FrameHeader(), Now);
@@ -248,7 +263,9 @@
 void FlowAgent::resetAllFlows(base::TimePoint Now) {
   Flows.forEach([&](const FlowKey &Flow, FlowRecord &Record) {
     stopCounting(Record);
-    if (!Record.Open)
+    // A flow that both sides have closed needs no reset, and its client may
+    // have opened another one with the same key.
+    if (!Record.Open || (Record.Closing && Record.ClosedByClient))
       return;
     Hooks.SendReset(Flow, Record.Acknowledged);
     reportDecision(DecisionKind::ResetLost, ReturnReason::TargetStopped, Flow,
--- a/packages/flows/test/ReusedPortTest.cpp
+++ b/packages/flows/test/ReusedPortTest.cpp
@@ -78,10 +78,73 @@
     Target.Held.clear();
   }
 
+  // The new flow is served by the second target and not reset.
+  void expectServed() {
+    const size_t Before = Sim.Agents[1].Target.Requests;
+    const size_t FormerRequests = Sim.Agents[0].Target.Requests;
+    EXPECT_TRUE(Sim.Resets.empty());
+    EXPECT_EQ(Sim.Agents[1].Target.Requests, Before);
+    for (int I = 0; I < 3; ++I) {
+      Sim.send(1, Flow);
+      run(milliseconds(1000));
+    }
+    EXPECT_TRUE(Sim.Resets.empty());
+    EXPECT_EQ(Sim.Agents[1].Target.Requests, Before + 3);
+    EXPECT_EQ(Sim.Agents[0].Target.Requests, FormerRequests);
+  }
+
   const FlowKey Flow = Simulation::flow(30'001);
   Simulation Sim;
 };
 
+// Guards against the agent of the former flow, which answers a search of
+// another balancer, gets the packet back from its target and resets the new
+// flow (review/8).
+TEST_P(ReusedPortTest, ASearchFindsTheNewFlow) {
+  openAt(0);
+  endFormer(GetParam());
+  run(seconds(33));
+  openAt(1);
+  expectServed();
+}
+
+// Guards against a balancer whose own entry is that of the former flow.
+TEST_P(ReusedPortTest, AFormerEntryOfABalancerDoesNotKeepTheNewFlow) {
+  openAt(0);
+  Sim.send(1, Flow);
+  endFormer(GetParam());
+  run(seconds(13));
+  openAt(1);
+  expectServed();
+}
+
+// Guards against an agent that has restarted during the former flow and does
+// not know its beginning.
+TEST_P(ReusedPortTest, ARestartOfTheFormerAgentChangesNothing) {
+  openAt(0);
+  Sim.restartAgent(0);
+  run(seconds(1));
+  Sim.send(0, Flow);
+  endFormer(GetParam());
+  run(seconds(13));
+  openAt(1);
+  expectServed();
+}
+
+// Guards against the end of the former target, which resets the flows that its
+// agent has records of.
+TEST_P(ReusedPortTest, TheEndOfTheFormerTargetResetsNoClosedFlow) {
+  if (GetParam() == FormerEnd::Abandoned || GetParam() == FormerEnd::Discarded)
+    return; // nothing distinguishes these from flows that are still open
+  openAt(0);
+  endFormer(GetParam());
+  run(seconds(13));
+  openAt(1);
+  Sim.Agents[0].StartedAtMs += 5000; // a new run
+  Sim.Agents[0].HeartbeatsSent = 0;
+  expectServed();
+}
+
 class ReusedPortOffersTest : public ReusedPortTest {};
 
 // Guards against a refusal of the new flow because the targets that the former
@@ -96,5 +159,11 @@
 
 INSTANTIATE_TEST_SUITE_P(Ends, ReusedPortOffersTest,
                          ::testing::Values(FormerEnd::Closed));
+INSTANTIATE_TEST_SUITE_P(
+    Ends, ReusedPortTest,
+    ::testing::Values(FormerEnd::Closed, FormerEnd::ClosedLate,
+                      FormerEnd::ResetByClient, FormerEnd::ResetLate,
+                      FormerEnd::Abandoned, FormerEnd::Discarded));
+
 } // namespace
 } // namespace burdockstream::flows::test
