--- a/packages/flows/include/burdockstream/flows/FlowAgent.h
+++ b/packages/flows/include/burdockstream/flows/FlowAgent.h
@@ -17,6 +17,7 @@
 #include "burdockstream/flows/HeldOpenings.h"
 #include "burdockstream/flows/OutlierEjection.h"
 #include "burdockstream/flows/Packet.h"
+#include "burdockstream/flows/RecordRetention.h"
 #include "burdockstream/flows/SequenceRange.h"
 #include "burdockstream/flows/ServiceTimeEstimate.h"
 #include "burdockstream/flows/TargetStatus.h"
@@ -153,10 +154,6 @@
 // Interval between health checks of a silent target.
 inline constexpr base::Duration ProbeInterval = std::chrono::milliseconds(1000);
 
-// Idle flows are forgotten after one to two of these periods; a target forgets
-// them earlier.
-inline constexpr base::Duration FlowRetention = std::chrono::seconds(30);
-
 // Thread safety, for all methods: loop thread only. Precondition: Now does not
 // decrease between calls.
 class FlowAgent {
@@ -217,6 +214,8 @@
   }
   size_t held() const { return Held.size(); }
   size_t flows() const { return Flows.size(); }
+  // Number of records that were dropped since there were too many.
+  uint64_t earlyDrops() const { return EarlyDrops; }
   // Number of flows that the target holds and has not closed.
   uint32_t openFlows() const { return OpenFlows; }
   uint32_t slots() const { return Slots; }
@@ -276,6 +275,11 @@
   std::span<const uint8_t> headerOf(const Packet &Packet) const;
   FrameKind lookUpFlow(const Packet &Packet);
   bool knowsNotHeld(const FlowKey &Flow);
+  // Returns whether the target holds no flow without a record.
+  bool hasAllRecords() const {
+    return KnowsAllFlows && Retention.coversAllFlows(LastTick);
+  }
+  void ageRecords(base::TimePoint Now);
   bool deniesFlow(const Packet &Packet, const FlowRecord &Record);
   static bool belongsTo(const Packet &Packet, const FlowRecord &Record);
   static bool isCopyOf(const Packet &Opening, const FlowRecord &Record);
@@ -335,7 +339,7 @@
   TargetState State = TargetState::Unknown;
   bool AgentLeaving = false;
   // The agent has observed the whole run of the target, so a flow without a
-  // record is not held.
+  // record is not held unless its record was dropped, see hasAllRecords().
   bool KnowsAllFlows = false;
   // Start of this process or replacement of the target.
   std::optional<base::TimePoint> ObservedSince;
@@ -349,7 +353,9 @@
   FlowTimeQueue TrialStartTimes;
   AgingMap<bool> NotHeld;
   AgingMap<bool> ResetByClient;
-  base::TimePoint NextAging{};
+  RecordRetention Retention;
+  uint64_t EarlyDrops = 0;
+  base::TimePoint LastTick{};
   base::TimePoint NextNotHeldAging{};
   FlowTimeQueue Openings;    // delivered opening packets
   FlowTimeQueue Requests;    // received requests
--- a/packages/flows/include/burdockstream/flows/Frame.h
+++ b/packages/flows/include/burdockstream/flows/Frame.h
@@ -77,6 +77,10 @@
   bool EntryMissing = false;   // the store is reachable, but does not list the
                                // receiving agent
   std::string FailureDomain;
+  // After which a target may drop an idle flow, by the routes that the balancer
+  // applies; zero if it has none. Rounded up to seconds on the wire, at most 18
+  // hours. Former balancers do not send it, former agents ignore it.
+  base::Duration IdleTimeout{0};
 };
 
 // What operators require of an agent's target, sent to agents that do not have
--- a/packages/flows/include/burdockstream/flows/SequenceRange.h
+++ b/packages/flows/include/burdockstream/flows/SequenceRange.h
@@ -45,6 +45,9 @@
     }
   }
 
+  // Returns whether no packet of the target was observed.
+  bool isEmpty() const { return State == Knowledge::None; }
+
   // Returns whether Acknowledged may acknowledge a packet of the target.
   bool contains(uint32_t Acknowledged) const {
     switch (State) {
--- a/packages/flows/src/AgentSearches.cpp
+++ b/packages/flows/src/AgentSearches.cpp
@@ -42,7 +42,7 @@
 
 // Returns whether the target cannot hold a flow that has no record.
 bool FlowAgent::knowsNotHeld(const FlowKey &Flow) {
-  return State == TargetState::Stopped || KnowsAllFlows || NotHeld.use(Flow);
+  return State == TargetState::Stopped || hasAllRecords() || NotHeld.use(Flow);
 }
 
 void FlowAgent::onSearches(base::SocketAddress From,
--- a/packages/flows/src/AgentStatus.cpp
+++ b/packages/flows/src/AgentStatus.cpp
@@ -119,6 +119,7 @@
 }
 
 void FlowAgent::tick(base::TimePoint Now) {
+  LastTick = Now;
   const bool Overdue = Now - LastHeartbeat > Options.HeartbeatOverdue;
   if (Overdue && State == TargetState::Ready)
     apply(TargetEvent::Overdue, "overdue", Now);
@@ -138,10 +139,8 @@
     sendStatuses(Now, Audience::All);
   else if (Changed && Now >= NextLocalStatus)
     sendStatuses(Now, Audience::Local);
-  if (Now >= NextAging) {
-    Flows.age([&](const FlowKey &, FlowRecord &Old) { stopCounting(Old); });
-    NextAging = Now + FlowRetention;
-  }
+  if (Retention.isAgingDue(Flows.size(), Now))
+    ageRecords(Now);
   if (Now >= NextNotHeldAging) {
     NotHeld.age([](const FlowKey &, bool) {});
     ResetByClient.age([](const FlowKey &, bool) {});
@@ -150,6 +149,17 @@
   }
 }
 
+void FlowAgent::ageRecords(base::TimePoint Now) {
+  const bool TooMany = Flows.size() > MaxFlowRecords;
+  bool DroppedOpen = false;
+  Flows.age([&](const FlowKey &, FlowRecord &Old) {
+    stopCounting(Old);
+    DroppedOpen = DroppedOpen || (!Old.Closing && !Old.Sent.isEmpty());
+    EarlyDrops += TooMany ? 1 : 0;
+  });
+  Retention.recordAging(DroppedOpen, Now);
+}
+
 void FlowAgent::expireSubscriptions(base::TimePoint Now) {
   std::erase_if(Balancers, [&](const Balancer &Each) {
     if (Now - Each.LastHello <= BalancerTimeout)
@@ -184,6 +194,7 @@
     NewestRoutesSince = Now;
     NextStatus = Now; // report it to the other balancers at once
   }
+  Retention.setIdleTimeout(Hello.IdleTimeout, Routes, Now);
   const auto Known =
       std::find_if(Balancers.begin(), Balancers.end(),
                    [&](const auto &Each) { return Each.Address == From; });
--- a/packages/flows/src/FlowBalancer.cpp
+++ b/packages/flows/src/FlowBalancer.cpp
@@ -326,9 +326,12 @@
   FrameHeader Header;
   Header.Kind = FrameKind::Hello;
   Header.Routes = routesRevision();
-  const auto Listed = packHello({Self.Control, false, Self.FailureDomain});
-  const auto Missing =
-      packHello({Self.Control, isSettled(Now), Self.FailureDomain});
+  const base::Duration IdleTimeout =
+      Routes ? Routes->IdleTimeout : base::Duration::zero();
+  const auto Listed =
+      packHello({Self.Control, false, Self.FailureDomain, IdleTimeout});
+  const auto Missing = packHello(
+      {Self.Control, isSettled(Now), Self.FailureDomain, IdleTimeout});
   for (const auto &Each : Targets.all()) {
     if (!Each || !Each->Subscribed || Now < Each->NextHello)
       continue;
--- a/packages/flows/src/Frame.cpp
+++ b/packages/flows/src/Frame.cpp
@@ -67,6 +67,13 @@
   }
 }
 
+constexpr unsigned AddressBits = 48;
+
+uint64_t packIdleTimeout(base::Duration Timeout) {
+  return static_cast<uint64_t>(std::clamp<int64_t>(
+      std::chrono::ceil<std::chrono::seconds>(Timeout).count(), 0, UINT16_MAX));
+}
+
 } // namespace
 
 std::string_view toString(ReturnReason Reason) {
@@ -112,7 +119,11 @@
 
 std::vector<uint8_t> packHello(const Hello &Hello) {
   std::vector<uint8_t> Body(HelloBytes + Hello.FailureDomain.size());
-  base::writeLittleEndian(Body, 0, base::packAddress(Hello.Control));
+  // An address takes 48 bits.
+  base::writeLittleEndian(Body, 0,
+                          base::packAddress(Hello.Control) |
+                              packIdleTimeout(Hello.IdleTimeout)
+                                  << AddressBits);
   Body[8] = Hello.EntryMissing ? 1 : 0;
   std::copy(Hello.FailureDomain.begin(), Hello.FailureDomain.end(),
             Body.begin() + HelloBytes);
@@ -126,7 +137,8 @@
   return Hello{
       {static_cast<uint32_t>(Packed >> 16), static_cast<uint16_t>(Packed)},
       Body[8] != 0,
-      {Body.begin() + HelloBytes, Body.end()}};
+      {Body.begin() + HelloBytes, Body.end()},
+      std::chrono::seconds(Packed >> AddressBits)};
 }
 
 std::vector<uint8_t> packStatus(const TargetStatus &Status) {
--- a/packages/flows/test/FlowFixture.cpp
+++ b/packages/flows/test/FlowFixture.cpp
@@ -166,6 +166,7 @@
   auto Table = std::make_shared<RouteTable>();
   Table->Revision = Revision;
   Table->Version = RoutesVersion;
+  Table->IdleTimeout = IdleTimeout;
   Table->WarmupFlowsPerSecond = WarmupFlowsPerSecond;
   for (const auto &[Address, Service] : Routes)
     Table->Routes[Address] = {
@@ -328,8 +329,11 @@
   if (Delivered.Header.Kind != FrameKind::Hello)
     return Place.Core->onFrame(Delivered.From, Delivered.Header,
                                Registry.read(Delivered.Body), Now);
-  if (const auto Hello = unpackHello(Delivered.Body))
+  if (auto Hello = unpackHello(Delivered.Body)) {
+    if (FormerHellos)
+      Hello->IdleTimeout = base::Duration::zero();
     Place.Core->onHello(Delivered.From, Delivered.Header.Routes, *Hello, Now);
+  }
 }
 
 void Simulation::deliverToBalancer(SimulatedBalancer &Place, Frame &Delivered) {
--- a/packages/flows/test/FlowFixture.h
+++ b/packages/flows/test/FlowFixture.h
@@ -135,6 +135,8 @@
   std::function<bool(base::SocketAddress To, FrameKind)> DropsFrame;
   // Agents ignore the reason of an opening packet, as former builds do.
   bool FormerAgents = false;
+  // Hellos have no idle timeout, as those of former builds.
+  bool FormerHellos = false;
   // Frames that agents have sent, in order, if SeenFrames is not null.
   std::vector<FrameKind> *SeenFrames = nullptr;
   base::ServiceId LastService; // in the frame that DropsFrame is called for
@@ -143,6 +145,7 @@
   std::function<void(size_t Balancer, ViewPart, base::TimePoint Since)> CatchUp;
   // For routes set from now on.
   uint64_t RoutesVersion = 0;
+  base::Duration IdleTimeout = std::chrono::seconds(60);
   std::unordered_map<base::ServiceId, uint32_t> WarmupFlowsPerSecond;
   // For balancers created from now on.
   double LinkBytesPerSecond = 125e6;
