--- a/packages/flowd/include/burdockstream/flowd/AgentRegistration.h
+++ b/packages/flowd/include/burdockstream/flowd/AgentRegistration.h
@@ -44,21 +44,28 @@
   AgentRegistration(const AgentRegistration &) = delete;
   AgentRegistration &operator=(const AgentRegistration &) = delete;
 
-  // Writes Entry to the store, or replaces the entry written before. Failures
-  // are reported through OnLost and retried.
+  // Writes Entry to the store, or replaces the entry that is there: the agent's
+  // own, or that of an earlier process at the same address. Failures are
+  // reported through OnLost and retried.
   void set(const flows::AgentEntry &Entry);
 
   // Writes the entry again, because a balancer that can read the store does not
   // see it. Does nothing during a write or an outage.
   void onEntryMissing();
 
-  // Marks the entry as ended and then ends the lease, which removes the entry.
-  // Calls Done afterwards, also on failure.
+  // Marks the entry as ended, unless it is another process's by then, and then
+  // ends the lease, which removes the entry. Calls Done afterwards, also on
+  // failure.
   void deregister(std::function<void()> Done);
 
 private:
   void grant();
+  // Writes the entry on the condition that the key has not changed since its
+  // revision Known. A write without an answer may be executed after the agent
+  // has left, and must not overwrite the entry of a process that has started at
+  // the same address since.
   void write();
+  void onWritten(const base::Result<store::PutReply> &Reply);
   void renew();
   void fail(const base::Error &Reason);
   void reportLost(const base::Error &Reason);
@@ -69,6 +76,11 @@
   // Writes the ended entry under EndingLease, and then ends the lease.
   void writeEnded(store::LeaseId EndingLease, base::Era GrantedIn,
                   std::function<void()> Done);
+  // Ends EndingLease after the write of the ended entry with Reply, or repeats
+  // the write if the entry has changed.
+  void endLease(store::LeaseId EndingLease,
+                const base::Result<store::PutReply> &Reply,
+                const std::function<void()> &Done);
   // Runs Action after Delay; replaces an action that is already scheduled.
   void schedule(base::Duration Delay, std::function<void()> Action);
   template <typename FunctionT> auto ifAlive(FunctionT Run);
@@ -78,8 +90,10 @@
   flows::AgentEntry Entry;
   store::LeaseId Lease = store::NoLease;
   base::Era LeaseEra = base::FirstEra; // in which Lease was granted
-  bool Lost = false;                   // the last call failed
-  bool Writing = false;                // a write of the entry is in progress
+  base::Revision Known = 0; // of the entry in the store; 0: there is none
+  bool Lost = false;        // the last call failed
+  bool Writing = false;     // a write of the entry is in progress
+  int Conflicts = 0;        // in a row
   guint Timer = 0;
   // Expires with the object; pending callbacks hold weak references to it.
   std::shared_ptr<int> LifetimeToken = std::make_shared<int>(0);
--- a/packages/flowd/src/AgentRegistration.cpp
+++ b/packages/flowd/src/AgentRegistration.cpp
@@ -7,6 +7,21 @@
 
 namespace burdockstream::flowd {
 
+namespace {
+
+// Conflicts in a row after which a write counts as failed. One is expected
+// after a restart, and one more after each write without an answer.
+constexpr int MaxConflicts = 3;
+
+// Returns the revision of the key after a write, 0 if it is absent.
+base::Revision revisionAfter(const store::PutReply &Reply) {
+  if (Reply.Written)
+    return Reply.Revision;
+  return Reply.Current ? Reply.Current->ModRevision : 0;
+}
+
+} // namespace
+
 AgentRegistration::AgentRegistration(store::Store &InitStore,
                                      RegistrationHooks InitHooks)
     : Store(InitStore), Hooks(std::move(InitHooks)) {}
@@ -55,18 +70,35 @@
 
 void AgentRegistration::write() {
   Writing = true;
-  Store.put({formatEntryKey(Entry.Agent), formatEntryValue(Entry), Lease},
-            ifAlive([this, UsedLease = Lease](base::Result<void> Reply) {
-              Writing = false;
-              if (!checkLease(UsedLease))
-                return;
-              if (Reply.has_error())
-                return fail(Reply.error());
-              Lost = false;
-              if (Hooks.OnRegistered)
-                Hooks.OnRegistered(Lease);
-              schedule(LeaseRenewalInterval, [this] { renew(); });
-            }));
+  Store.put(
+      {formatEntryKey(Entry.Agent), formatEntryValue(Entry), Lease, Known},
+      ifAlive([this,
+               UsedLease = Lease](const base::Result<store::PutReply> &Reply) {
+        Writing = false;
+        if (checkLease(UsedLease))
+          onWritten(Reply);
+      }));
+}
+
+void AgentRegistration::onWritten(const base::Result<store::PutReply> &Reply) {
+  if (Reply.has_error())
+    return fail(Reply.error());
+  Known = revisionAfter(Reply.value());
+  if (!Reply.value().Written) {
+    // An earlier process at this address has left the entry, or an earlier
+    // write was executed without an answer.
+    if (++Conflicts <= MaxConflicts)
+      return write();
+    return fail(base::makeError(base::ErrorKind::Conflict,
+                                formatEntryKey(Entry.Agent) +
+                                    " is written by another process too; give "
+                                    "each process an address of its own"));
+  }
+  Conflicts = 0;
+  Lost = false;
+  if (Hooks.OnRegistered)
+    Hooks.OnRegistered(Lease);
+  schedule(LeaseRenewalInterval, [this] { renew(); });
 }
 
 void AgentRegistration::renew() {
@@ -90,6 +122,7 @@
                              "the store has returned from an older copy; the "
                              "entry is written again under a new lease"));
   Lease = store::NoLease;
+  Known = 0; // revisions of the earlier era name other writes
   if (Timer != 0)
     g_source_remove(std::exchange(Timer, 0));
   grant();
@@ -103,8 +136,11 @@
 
 void AgentRegistration::fail(const base::Error &Reason) {
   reportLost(Reason);
-  if (Reason.Kind == base::ErrorKind::NotFound)
+  Conflicts = 0;
+  if (Reason.Kind == base::ErrorKind::NotFound) {
     Lease = store::NoLease;
+    Known = 0; // the entry was removed with its lease
+  }
   // A failed write may have taken effect; repeating it is idempotent.
   schedule(RegistrationRetryDelay, [this] {
     if (Lease == store::NoLease)
@@ -115,8 +151,10 @@
 }
 
 void AgentRegistration::onEntryMissing() {
-  if (!Lost && !Writing && Lease != store::NoLease)
-    write();
+  if (Lost || Writing || Lease == store::NoLease)
+    return;
+  Known = 0;
+  write();
 }
 
 void AgentRegistration::deregister(std::function<void()> Done) {
@@ -131,23 +169,36 @@
 void AgentRegistration::writeEnded(store::LeaseId EndingLease,
                                    base::Era GrantedIn,
                                    std::function<void()> Done) {
-  const auto OnWritten = [this, EndingLease, GrantedIn,
-                          Run = std::move(Done)](const base::Result<void> &) {
-    // A failure to end the lease is ignored: the lease expires on its own.
+  const auto OnWritten = [this, EndingLease, GrantedIn, Run = std::move(Done)](
+                             const base::Result<store::PutReply> &Reply) {
     if (Store.era() == GrantedIn)
-      return Store.endLease(EndingLease,
-                            [Run](const base::Result<void> &) { Run(); });
+      return endLease(EndingLease, Reply, Run);
     // The lease may be that of another agent by now.
     Store.grantLease(
         EntryLeaseTtl,
-        ifAlive([this, Run](base::Result<store::LeaseReply> Reply) {
-          if (Reply.has_error())
+        ifAlive([this, Run](base::Result<store::LeaseReply> Granted) {
+          if (Granted.has_error())
             return Run();
-          writeEnded(Reply.value().Lease, Store.era(), Run);
+          Known = 0;
+          writeEnded(Granted.value().Lease, Store.era(), Run);
         }));
   };
-  Store.put({formatEntryKey(Entry.Agent), formatEntryValue(Entry), EndingLease},
+  Store.put({formatEntryKey(Entry.Agent), formatEntryValue(Entry), EndingLease,
+             Known},
             ifAlive(OnWritten));
 }
 
+void AgentRegistration::endLease(store::LeaseId EndingLease,
+                                 const base::Result<store::PutReply> &Reply,
+                                 const std::function<void()> &Done) {
+  // While this process runs at the address, the entry cannot be a successor's.
+  if (Reply.has_value() && !Reply.value().Written &&
+      ++Conflicts <= MaxConflicts) {
+    Known = revisionAfter(Reply.value());
+    return writeEnded(EndingLease, Store.era(), Done);
+  }
+  // A failure to end the lease is ignored: the lease expires on its own.
+  Store.endLease(EndingLease, [Done](const base::Result<void> &) { Done(); });
+}
+
 } // namespace burdockstream::flowd
--- a/packages/flowd/test/ReportsTest.cpp
+++ b/packages/flowd/test/ReportsTest.cpp
@@ -26,7 +26,7 @@
   void readPrefix(const std::string &, store::RangeCallback Callback) override {
     Callback(makeUnavailableError());
   }
-  void put(const store::PutRequest &, store::DoneCallback Callback) override {
+  void put(const store::PutRequest &, store::PutCallback Callback) override {
     Callback(makeUnavailableError());
   }
   void grantLease(std::chrono::seconds,
--- a/packages/store/include/burdockstream/store/Store.h
+++ b/packages/store/include/burdockstream/store/Store.h
@@ -16,6 +16,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -42,6 +43,18 @@
   std::string Key;
   std::string Value;
   LeaseId Lease = NoLease;
+  // If set, the key is written only if its last change has this revision, or is
+  // absent if it is 0. A call without an answer may be executed seconds later;
+  // without a condition it would overwrite what was written since.
+  std::optional<base::Revision> ExpectedRevision = {};
+};
+
+// The result of a write that the store has processed.
+struct PutReply {
+  bool Written = false;
+  base::Revision Revision = 0; // of the write; 0 if the store does not name it
+  // If not Written: the key in its present state, or nothing if it is absent.
+  std::optional<KeyValue> Current = {};
 };
 
 struct LeaseReply {
@@ -92,6 +105,7 @@
 void exportCounters(base::Metrics &Registry, const CallCounters &Counters);
 
 using RangeCallback = std::function<void(base::Result<RangeReply>)>;
+using PutCallback = std::function<void(base::Result<PutReply>)>;
 using LeaseCallback = std::function<void(base::Result<LeaseReply>)>;
 using DoneCallback = std::function<void(base::Result<void>)>;
 
@@ -114,8 +128,9 @@
   virtual void readPrefix(const std::string &Prefix,
                           RangeCallback Callback) = 0;
 
-  // Writes a key regardless of its current value.
-  virtual void put(const PutRequest &Request, DoneCallback Callback) = 0;
+  // Writes a key. A revision that is not the expected one is no error. Errors:
+  // NotFound if the lease has ended.
+  virtual void put(const PutRequest &Request, PutCallback Callback) = 0;
 
   virtual void grantLease(std::chrono::seconds Ttl, LeaseCallback Callback) = 0;
 
--- a/packages/store/include/burdockstream/store/StoreClient.h
+++ b/packages/store/include/burdockstream/store/StoreClient.h
@@ -52,9 +52,8 @@
   // Reads all keys that start with Prefix. Thread safety: loop thread only.
   void readPrefix(const std::string &Prefix, RangeCallback Callback) override;
 
-  // Writes a key regardless of its current value. Thread safety: loop thread
-  // only.
-  void put(const PutRequest &Request, DoneCallback Callback) override;
+  // Thread safety: loop thread only.
+  void put(const PutRequest &Request, PutCallback Callback) override;
 
   // Writes a key if its revision is the expected one. A revision mismatch is a
   // CasReply, not an error. If the key already holds exactly the requested
--- a/packages/store/src/StoreClient.cpp
+++ b/packages/store/src/StoreClient.cpp
@@ -22,17 +22,22 @@
   return Reply;
 }
 
+PutReply toPutReply(const Json::Value &Response) {
+  PutReply Reply;
+  Reply.Written = Response["succeeded"].asBool();
+  Reply.Revision = etcd::toInteger(Response["header"]["revision"]);
+  const Json::Value &Values = Response["responses"][0]["response_range"]["kvs"];
+  if (!Reply.Written && Values.isArray() && !Values.empty())
+    Reply.Current = etcd::toKeyValue(Values[0]);
+  return Reply;
+}
+
 CasReply toCasReply(const Json::Value &Response,
                     const std::string &RequestedValue) {
-  CasReply Reply;
-  Reply.Succeeded = Response["succeeded"].asBool();
-  Reply.StoreRevision = etcd::toInteger(Response["header"]["revision"]);
-  if (Reply.Succeeded)
+  const PutReply Written = toPutReply(Response);
+  CasReply Reply{Written.Written, Written.Revision, Written.Current};
+  if (!Reply.Current)
     return Reply;
-  const Json::Value &Values = Response["responses"][0]["response_range"]["kvs"];
-  if (!Values.isArray() || Values.empty())
-    return Reply;
-  Reply.Current = etcd::toKeyValue(Values[0]);
   // Each value contains a nonce of its writer, so an equal value can only come
   // from an earlier attempt of the same write whose response was lost.
   if (Reply.Current->Value == RequestedValue) {
@@ -138,9 +143,22 @@
        });
 }
 
-void StoreClient::put(const PutRequest &Request, DoneCallback Callback) {
+void StoreClient::put(const PutRequest &Request, PutCallback Callback) {
   ++Counters.Writes;
-  call("/v3/kv/put", etcd::putBody(Request), toDone(std::move(Callback)));
+  const auto &Expected = Request.ExpectedRevision;
+  const std::string Path = Expected ? "/v3/kv/txn" : "/v3/kv/put";
+  const Json::Value Body = Expected ? etcd::casBody({Request.Key, Request.Value,
+                                                     *Expected, Request.Lease})
+                                    : etcd::putBody(Request);
+  call(Path, Body,
+       [Done = std::move(Callback),
+        Conditional = Expected.has_value()](Result<Json::Value> Response) {
+         if (Response.has_error())
+           return Done(Response.error());
+         PutReply Reply = toPutReply(Response.value());
+         Reply.Written = Reply.Written || !Conditional;
+         Done(std::move(Reply));
+       });
 }
 
 void StoreClient::endLease(LeaseId Lease, DoneCallback Callback) {
--- a/testing/platform_standin/include/burdockstream/testing/PlatformStoreStandIn.h
+++ b/testing/platform_standin/include/burdockstream/testing/PlatformStoreStandIn.h
@@ -68,6 +68,12 @@
   void holdNextWatchAnswer(const std::string &Prefix);
   void sendHeldAnswers();
 
+  // Gives the next write of Key no answer, and does not execute it before
+  // executeDelayedWrites(), if its condition still holds then.
+  void delayNextWrite(const std::string &Key) { DelayedKey = Key; }
+  void executeDelayedWrites();
+  size_t delayedWrites() const { return DelayedWrites.size(); }
+
   bool has(const std::string &Key) const {
     return Current.Items.count(Key) != 0;
   }
@@ -115,6 +121,7 @@
 
   void onRequest(const http::ServerRequest &Request,
                  const std::shared_ptr<http::Responder> &Out);
+  bool delays(const http::ServerRequest &Request);
   bool fails(const http::ServerRequest &Request,
              const std::shared_ptr<http::Responder> &Out);
   http::ServerAnswer readKey(const std::string &Key) const;
@@ -143,6 +150,8 @@
   std::vector<Watcher> Watchers;
   std::vector<std::shared_ptr<http::Responder>> Unanswered;
   std::map<std::string, std::string> NextAnswers; // by path
+  std::optional<std::string> DelayedKey;          // see delayNextWrite()
+  std::vector<std::string> DelayedWrites;         // bodies
   std::optional<std::string> HeldPrefix;          // see holdNextWatchAnswer()
   std::vector<std::pair<std::shared_ptr<http::Responder>, http::ServerAnswer>>
       HeldAnswers;
--- a/testing/platform_standin/src/PlatformStoreStandIn.cpp
+++ b/testing/platform_standin/src/PlatformStoreStandIn.cpp
@@ -169,6 +169,21 @@
   return Found == Calls.end() ? 0 : Found->second;
 }
 
+bool PlatformStoreStandIn::delays(const http::ServerRequest &Request) {
+  if (!DelayedKey || Request.Path != "/api/kv-txn" ||
+      parse(Request.Body)["write"][0]["key"].asString() != *DelayedKey)
+    return false;
+  DelayedKey.reset();
+  DelayedWrites.push_back(Request.Body);
+  return true;
+}
+
+void PlatformStoreStandIn::executeDelayedWrites() {
+  for (const std::string &Body : std::exchange(DelayedWrites, {}))
+    transact(Body);
+  serveWatches();
+}
+
 bool PlatformStoreStandIn::fails(const http::ServerRequest &Request,
                                  const std::shared_ptr<http::Responder> &Out) {
   switch (Fault) {
@@ -206,6 +221,10 @@
   ++Calls[Request.Path];
   if (fails(Request, Out))
     return;
+  if (delays(Request)) {
+    Unanswered.push_back(Out);
+    return;
+  }
   if (const auto Next = NextAnswers.extract(Request.Path); !Next.empty())
     return reply(Out, {200, "application/json", Next.mapped()});
   const int64_t Keep = idAfter(Request.Path, "/api/kv-keep/");
