--- a/packages/flowd/include/burdockstream/flowd/AgentRegistration.h
+++ b/packages/flowd/include/burdockstream/flowd/AgentRegistration.h
@@ -53,6 +53,11 @@
   // see it. Does nothing during a write or an outage.
   void onEntryMissing();
 
+  // Writes into the entry that the agent restarts, for balancers that start
+  // while it is away. The entry and its lease stay. Calls Done afterwards, also
+  // on failure; at once without an entry.
+  void announceRestart(std::function<void()> Done);
+
   // Marks the entry as ended, unless it is another process's by then, and then
   // ends the lease, which removes the entry. Calls Done afterwards, also on
   // failure.
--- a/packages/flowd/src/AgentDaemon.cpp
+++ b/packages/flowd/src/AgentDaemon.cpp
@@ -341,12 +341,13 @@
                        [this, Latest] { finishWhenIdle(Latest); });
     return;
   }
-  // The target still runs, so this is a restart of the agent only; the next
-  // run uses the same entry.
-  if (!Stopped)
-    return OnFinished();
   network::callLater(DeregistrationTimeout, OnFinished);
-  Registration.deregister(OnFinished);
+  // If the target still runs, this is a restart of the agent only; the next run
+  // uses the same entry.
+  if (!Stopped)
+    Registration.announceRestart(OnFinished);
+  else
+    Registration.deregister(OnFinished);
 }
 
 } // namespace burdockstream::flowd
--- a/packages/flowd/src/AgentEntries.cpp
+++ b/packages/flowd/src/AgentEntries.cpp
@@ -31,6 +31,8 @@
   Value["failure_domain"] = Entry.FailureDomain;
   if (Entry.Ended)
     Value["ended"] = true;
+  if (Entry.Restarting)
+    Value["restarting"] = true;
   return base::compactJson(Value);
 }
 
@@ -59,9 +61,12 @@
     return base::makeError(base::ErrorKind::Corrupt,
                            std::string(Key) +
                                " is not a valid agent entry; remove the key");
+  const auto IsTrue = [&](const char *Field) {
+    return Root[Field].isBool() && Root[Field].asBool();
+  };
   return flows::AgentEntry{*Address, std::move(*Service),
-                           std::move(*FailureDomain),
-                           Root["ended"].isBool() && Root["ended"].asBool()};
+                           std::move(*FailureDomain), IsTrue("ended"),
+                           IsTrue("restarting")};
 }
 
 } // namespace burdockstream::flowd
--- a/packages/flowd/src/AgentRegistration.cpp
+++ b/packages/flowd/src/AgentRegistration.cpp
@@ -157,6 +157,23 @@
   write();
 }
 
+void AgentRegistration::announceRestart(std::function<void()> Done) {
+  if (Lease == store::NoLease || Lost)
+    return Done();
+  if (Timer != 0)
+    g_source_remove(std::exchange(Timer, 0));
+  flows::AgentEntry Announced = Entry;
+  Announced.Restarting = true;
+  Store.put(
+      {formatEntryKey(Entry.Agent), formatEntryValue(Announced), Lease, Known},
+      ifAlive([this, Run = std::move(Done)](
+                  const base::Result<store::PutReply> &Reply) {
+        if (Reply.has_value())
+          Known = revisionAfter(Reply.value());
+        Run();
+      }));
+}
+
 void AgentRegistration::deregister(std::function<void()> Done) {
   if (Lease == store::NoLease)
     return Done();
--- a/packages/flowd/src/BalancerDaemon.cpp
+++ b/packages/flowd/src/BalancerDaemon.cpp
@@ -237,7 +237,8 @@
   for (const auto &Each : Core.targets().all())
     if (Each && !Each->ServiceName.empty() && !isLost(*Each, Now))
       State.Agents.push_back(
-          {Each->Agent, Each->ServiceName, Each->FailureDomain});
+          {Each->Agent, Each->ServiceName, Each->FailureDomain, false,
+           Each->Status.State == flows::TargetState::Leaving});
   return serializePeerState(State);
 }
 
--- a/packages/flowd/test/FlowSettingsTest.cpp
+++ b/packages/flowd/test/FlowSettingsTest.cpp
@@ -84,6 +84,23 @@
 
 // Guards against a malformed entry in the store that makes a balancer crash or
 // use a wrong address.
+// Former builds write no "restarting" and ignore it, as any field that they do
+// not know.
+TEST(AgentEntriesTest, AnnouncesARestart) {
+  const base::SocketAddress Agent{0x0A010203, 7000};
+  flows::AgentEntry Entry{Agent, "shopdesk", "bc-kam"};
+  const std::string Former =
+      R"({"failure_domain":"bc-kam","service":"shopdesk"})";
+  EXPECT_EQ(formatEntryValue(Entry), Former);
+  Entry.Restarting = true;
+  const std::string Value = formatEntryValue(Entry);
+  EXPECT_EQ(
+      Value,
+      R"({"failure_domain":"bc-kam","restarting":true,"service":"shopdesk"})");
+  EXPECT_EQ(parseEntry(formatEntryKey(Agent), Value).value(), Entry);
+  EXPECT_FALSE(parseEntry(formatEntryKey(Agent), Former).value().Restarting);
+}
+
 TEST(AgentEntriesTest, RejectsMalformedEntries) {
   const std::string Key = formatEntryKey({0x0A010203, 7000});
   for (const char *Value : {"", "[]", "{", "{}", R"({"service":7})",
--- a/packages/flows/include/burdockstream/flows/TargetTable.h
+++ b/packages/flows/include/burdockstream/flows/TargetTable.h
@@ -34,6 +34,9 @@
   // The target's process has ended and the agent is leaving, so the target's
   // flows no longer exist. An entry that merely disappears proves neither.
   bool Ended = false;
+  // The agent's process is being restarted as planned, and the target runs on.
+  // Former builds neither write nor read it.
+  bool Restarting = false;
 
   friend bool operator==(const AgentEntry &, const AgentEntry &) = default;
 };
@@ -46,7 +49,9 @@
   std::string ServiceName;
   std::string EntryDomain;
   bool EntryDisputed = false; // it contradicts the last status
-  bool Listed = false;        // in the store's list
+  // The entry announces a restart, after which no status has come.
+  bool EntryRestarting = false;
+  bool Listed = false; // in the store's list
   base::TimePoint RemovedAt{};
   bool HasStatus = false; // whether a status has arrived
   // Arrival of the last status; before the first, when the target was added.
@@ -75,13 +80,14 @@
 inline constexpr base::Duration AgentLostAfter =
     std::chrono::milliseconds(1500);
 
-// Replaces AgentLostAfter for an agent that has announced its restart: the
-// platform's grace period for a shutdown plus the start of the new process.
+// Replaces AgentLostAfter and FirstStatusTimeout for an agent that has
+// announced its restart, in a status or in its entry: the platform's grace
+// period for a shutdown plus the start of the new process.
 inline constexpr base::Duration RestartGracePeriod = std::chrono::seconds(9);
 
 // An agent that has never sent a status counts as lost this long after the
-// subscription. It may be starting, or restarting without an announcement that
-// reached this balancer; a restart takes about 0.7 s.
+// subscription, unless its entry announces a restart. It may be starting, or
+// restarting after a crash, which takes about 0.7 s.
 inline constexpr base::Duration FirstStatusTimeout =
     std::chrono::milliseconds(1500);
 
--- a/packages/flows/src/TargetTable.cpp
+++ b/packages/flows/src/TargetTable.cpp
@@ -44,6 +44,7 @@
   const bool Changed =
       ServiceChanged || Known.EntryDomain != Entry.FailureDomain;
   Known.Listed = true;
+  Known.EntryRestarting = Entry.Restarting;
   Known.ServiceName = Entry.Service;
   Known.EntryDomain = Entry.FailureDomain;
   if (Known.HasStatus && Now - Known.LastStatusAt <= StatusStaleAfter)
@@ -88,6 +89,8 @@
   Known.HasStatus = true;
   Known.Questions.recordAnswer();
   Known.EntryDisputed = false;
+  Known.EntryRestarting =
+      Known.EntryRestarting && Status.State == TargetState::Leaving;
   Known.LastStatusAt = Now;
   Known.StatusSinceSubscribed = Known.Subscribed;
   Known.Status = Status;
@@ -167,11 +170,11 @@
     return false;
   const base::Duration Silence =
       Now - std::max(Target.LastStatusAt, Target.SubscribedSince);
-  if (!Target.HasStatus)
-    return Silence > FirstStatusTimeout;
-  return Silence > (Target.Status.State == TargetState::Leaving
-                        ? RestartGracePeriod
-                        : AgentLostAfter);
+  const bool Leaving =
+      Target.HasStatus && Target.Status.State == TargetState::Leaving;
+  if (Leaving || Target.EntryRestarting)
+    return Silence > RestartGracePeriod;
+  return Silence > (Target.HasStatus ? AgentLostAfter : FirstStatusTimeout);
 }
 
 } // namespace burdockstream::flows
