--- a/testing/platform_standin/include/burdockstream/testing/PlatformStoreStandIn.h
+++ b/testing/platform_standin/include/burdockstream/testing/PlatformStoreStandIn.h
@@ -40,6 +40,9 @@
 
   base::Result<void> listen(base::SocketAddress Address);
 
+  // Starts the store's counter at Revision. Precondition: nothing was written.
+  void startAt(int64_t Revision) { Current.Revision = Revision; }
+
   // Writes as the operator does.
   int64_t put(const std::string &Key, const std::string &Value);
   // Removes a key as the operator does.
