Deliver a client's end of a flow whose sequence numbers are unknown

Where a target's numbers do not follow one another, every packet may belong to the recorded flow, and the rule took the record for that of a former flow as soon as the target had closed its side. The client's end that follows was returned, searched for and reset. The soak's targets used such numbers (the stand-in numbered data without regard to the opening).

Change: only a flow that both sides have closed counts as a former one there. TheClientsEndIsDelivered fails without the change.

--- a/packages/flows/src/AgentSearches.cpp
+++ b/packages/flows/src/AgentSearches.cpp
@@ -13,10 +13,12 @@
 
 // Returns whether a client's Packet may be one of the flow of Record, rather
 // than of another flow with the same key: the client uses the port again, or
-// another target has accepted a copy of the opening packet too.
+// another target has accepted a copy of the opening packet too. Where sequence
+// numbers do not tell, a flow that both sides have closed has no more packets.
 bool FlowAgent::belongsTo(const Packet &Packet, const FlowRecord &Record) {
+  const bool IsClosed = Record.Closing && Record.ClosedByClient;
   return Record.Sent.contains(Packet.Acknowledged) &&
-         (Record.Sent.isUnambiguous() || !Record.Closing);
+         (Record.Sent.isUnambiguous() || !IsClosed);
 }
 
 // Returns whether the target cannot hold the flow of a client's Packet, since
--- a/packages/flows/test/FlowFixture.cpp
+++ b/packages/flows/test/FlowFixture.cpp
@@ -376,6 +376,8 @@
   }
   if (Arrived.DataBytes > 0)
     ++Place.Target.Requests;
+  if (Arrived.Finishes)
+    ++Place.Target.Ends;
   if (Place.Target.Unresponsive && Arrived.DataBytes > 0)
     return;
   uint32_t &Next = Place.Target.Held[Key];
--- a/packages/flows/test/FlowFixture.h
+++ b/packages/flows/test/FlowFixture.h
@@ -47,6 +47,7 @@
   // Flows of returned packets other than opening ones.
   std::vector<FlowKey> ReturnedPackets;
   size_t Requests = 0;       // data packets of held flows
+  size_t Ends = 0;           // clients' ends of held flows
   bool Full = false;         // rejects opening packets
   bool Unresponsive = false; // does not answer requests
   bool Aborts = false;       // resets the flow instead of answering a request
--- a/packages/flows/test/ReusedPortTest.cpp
+++ b/packages/flows/test/ReusedPortTest.cpp
@@ -145,6 +145,31 @@
   expectServed();
 }
 
+// Guards against a flow that its target has closed and whose client's end is
+// not delivered, because the target's sequence numbers do not follow one
+// another.
+TEST(UnknownSequenceNumbersTest, TheClientsEndIsDelivered) {
+  Simulation Sim;
+  Sim.addBalancer();
+  Sim.setRoutes(0, 10, {{ShopAddress, std::string(Shop)}});
+  Sim.addAgent();
+  Sim.listAll();
+  for (int I = 0; I < 2; ++I) {
+    Sim.sendHeartbeats();
+    Sim.run(milliseconds(1000));
+  }
+  const FlowKey Flow = Simulation::flow(1);
+  Sim.openAndRequest(0, Flow);
+  for (auto &[Key, Next] : Sim.Agents[0].Target.Held)
+    Next -= 1'000'000;
+  Sim.finishAtTarget(0, Flow);
+  const size_t Before = Sim.Agents[0].Target.Ends;
+  Sim.sendEnd(0, Flow);
+  Sim.run(seconds(1));
+  EXPECT_EQ(Sim.Agents[0].Target.Ends, Before + 1);
+  EXPECT_TRUE(Sim.Resets.empty());
+}
+
 class ReusedPortOffersTest : public ReusedPortTest {};
 
 // Guards against a refusal of the new flow because the targets that the former
--- a/testing/flow_soak/src/SoakParts.h
+++ b/testing/flow_soak/src/SoakParts.h
@@ -78,8 +78,10 @@
   void serve(const flows::Packet &Packet, uint32_t Request);
   void startWork(const flows::FlowKey &Flow, uint32_t Request);
   void send(const flows::FlowKey &Flow, uint8_t Flags, uint32_t Request);
-  // In the answers to opening packets; another one for each target.
-  uint32_t sequence() const { return static_cast<uint32_t>(Index + 1); }
+  // At which it starts its flows; far from those of the other targets.
+  uint32_t sequence() const {
+    return static_cast<uint32_t>(Index + 1) * 0x9E3779B1U;
+  }
 
   size_t Index;
   std::string Service;
--- a/testing/platform_standin/include/burdockstream/testing/PlatformPacketWriter.h
+++ b/testing/platform_standin/include/burdockstream/testing/PlatformPacketWriter.h
@@ -23,7 +23,7 @@
   uint32_t Acknowledged = 0;
   uint32_t Request = 0;  // number of a request or its answer; 0: no data
   size_t DataBytes = 4;  // of a packet with a request; at least 4
-  uint32_t Sequence = 0; // of a packet without a request
+  uint32_t Sequence = 0; // at which the sender starts the flow
 };
 
 // Thread safety, for all functions: any thread.
--- a/testing/platform_standin/src/PlatformPacketWriter.cpp
+++ b/testing/platform_standin/src/PlatformPacketWriter.cpp
@@ -42,8 +42,7 @@
   writeEnds(Bytes, Text.From, Text.To);
   put(Bytes, LengthAt, static_cast<uint16_t>(Length));
   put(Bytes, SequenceAt,
-      Text.Request == 0 ? Text.Sequence
-                        : static_cast<uint32_t>(Text.Request * Text.DataBytes));
+      Text.Sequence + static_cast<uint32_t>(Text.Request * Text.DataBytes));
   put(Bytes, AcknowledgedAt, Text.Acknowledged);
   Bytes[FlagsAt] = Text.Flags;
   if (Length != 0)
