Treat the answer to a copy of an opening packet as possibly not the first

An agent drops the record of a flow when its target refuses a copy of the opening packet. If the target then answers a later copy, the new record took that answer for the first packet of the flow, so that a client which had acknowledged more was denied until the target's next packet, and its open flow could be reset.

ALaterCopyDoesNotStartTheFlowAnew fails without it. The fake target of the tests now answers each copy with the same number, as targets do.

--- a/packages/flows/include/burdockstream/flows/FlowAgent.h
+++ b/packages/flows/include/burdockstream/flows/FlowAgent.h
@@ -250,7 +250,8 @@
     // Of the client's opening packet and its copies; nothing if the agent has
     // not seen any.
     std::optional<uint32_t> OpeningSequence;
-    SequenceRange Sent; // by the target
+    bool OpenedByCopy = false; // the first one that the agent has seen
+    SequenceRange Sent;        // by the target
   };
   struct Balancer {
     base::SocketAddress Address;
--- a/packages/flows/src/AgentOpenings.cpp
+++ b/packages/flows/src/AgentOpenings.cpp
@@ -77,6 +77,8 @@
   if (Now < WarmupEnd && !Flows.use(Packet.Flow))
     Warmup.record(Now);
   FlowRecord &Record = Flows.insert(Packet.Flow);
+  if (!Record.OpeningSequence)
+    Record.OpenedByCopy = Packet.Acknowledged != 0;
   Record.OpeningSequence = Packet.Sequence;
   Record.Class = static_cast<WorkClass>(
       std::min<size_t>(Header.WorkClass, WorkClasses - 1));
--- a/packages/flows/src/FlowAgent.cpp
+++ b/packages/flows/src/FlowAgent.cpp
@@ -163,7 +163,7 @@
   if (ResetByClient.use(Packet.Flow))
     Record.Closing = Record.ClosedByClient = true;
   if (Packet.Accepts)
-    Record.Sent.start(Packet.Sequence, !hasAllRecords());
+    Record.Sent.start(Packet.Sequence, Record.OpenedByCopy || !hasAllRecords());
   else if (!Packet.Aborts)
     Record.Sent.extend(Packet.Sequence,
                        Packet.DataBytes + (Packet.Finishes ? 1U : 0U));
--- a/packages/flows/test/FlowFixture.cpp
+++ b/packages/flows/test/FlowFixture.cpp
@@ -272,7 +272,7 @@
   Packet End;
   End.Flow = Flow;
   End.Finishes = true;
-  End.Sequence = Place.Target.Held.at(keyOf(Flow));
+  End.Sequence = Place.Target.Held.at(keyOf(Flow)).Next;
   Place.Core->onTargetPacket(Registry.write(End, Sender::Target), Now);
   deliverFrames();
 }
@@ -371,7 +371,7 @@
   if (Arrived.Opens && !Holds) {
     // Each target starts elsewhere, and each of its flows too.
     const auto Started = ++NextSequence * SequenceStep;
-    Place.Target.Held[Key] = Started + 1;
+    Place.Target.Held[Key] = {Started, Started + 1};
     Place.Target.Opened.push_back(Arrived.Flow);
   }
   if (Arrived.DataBytes > 0)
@@ -380,13 +380,13 @@
     ++Place.Target.Ends;
   if (Place.Target.Unresponsive && Arrived.DataBytes > 0)
     return;
-  uint32_t &Next = Place.Target.Held[Key];
+  FakeTarget::SequenceNumbers &Numbers = Place.Target.Held[Key];
   Answer.Opens = false;
   Answer.Accepts = Arrived.Opens;
-  Answer.Sequence = Arrived.Opens ? Next - 1 : Next;
+  Answer.Sequence = Arrived.Opens ? Numbers.First : Numbers.Next;
   Answer.Finishes = false;
   if (!Arrived.Opens)
-    Next += Answer.DataBytes;
+    Numbers.Next += Answer.DataBytes;
   if (Place.Target.Aborts && Arrived.DataBytes > 0) {
     ++Place.Target.Aborted;
     Place.Target.Held.erase(Key);
--- a/packages/flows/test/FlowFixture.h
+++ b/packages/flows/test/FlowFixture.h
@@ -41,8 +41,12 @@
 
 // A fake target. It returns packets of flows that it does not hold.
 struct FakeTarget {
-  // Flows that it holds, with the next sequence number that it uses in each.
-  std::map<std::pair<uint64_t, uint64_t>, uint32_t> Held;
+  struct SequenceNumbers {
+    uint32_t First = 0; // in the answer to the opening packet
+    uint32_t Next = 0;
+  };
+  // Flows that it holds, with its sequence numbers.
+  std::map<std::pair<uint64_t, uint64_t>, SequenceNumbers> Held;
   std::vector<FlowKey> Opened; // in order of arrival
   // Flows of returned packets other than opening ones.
   std::vector<FlowKey> ReturnedPackets;
--- a/packages/flows/test/ReusedPortTest.cpp
+++ b/packages/flows/test/ReusedPortTest.cpp
@@ -160,8 +160,8 @@
   }
   const FlowKey Flow = Simulation::flow(1);
   Sim.openAndRequest(0, Flow);
-  for (auto &[Key, Next] : Sim.Agents[0].Target.Held)
-    Next -= 1'000'000;
+  for (auto &[Key, Numbers] : Sim.Agents[0].Target.Held)
+    Numbers.Next -= 1'000'000;
   Sim.finishAtTarget(0, Flow);
   const size_t Before = Sim.Agents[0].Target.Ends;
   Sim.sendEnd(0, Flow);
@@ -170,6 +170,36 @@
   EXPECT_TRUE(Sim.Resets.empty());
 }
 
+// Guards against a holder that denies its open flow: the target refuses a copy
+// of the opening packet, which drops the record, and answers a later copy when
+// it has sent more already.
+TEST(OpeningCopyTest, ALaterCopyDoesNotStartTheFlowAnew) {
+  Simulation Sim;
+  Sim.addBalancer();
+  Sim.setRoutes(0, 10, {{ShopAddress, std::string(Shop)}});
+  Sim.addAgent();
+  Sim.listAll();
+  for (int I = 0; I < 2; ++I) {
+    Sim.sendHeartbeats();
+    Sim.run(milliseconds(1000));
+  }
+  const FlowKey Flow = Simulation::flow(1);
+  FakeTarget &Target = Sim.Agents[0].Target;
+  Sim.openAndRequest(0, Flow);
+  Sim.send(0, Flow);
+  const auto Held = std::exchange(Target.Held, {});
+  Target.Full = true;
+  Sim.open(0, Flow, 1, milliseconds(200));
+  Target.Held = Held;
+  Target.Full = false;
+  Sim.open(0, Flow, 2, milliseconds(600));
+  Sim.Resets.clear(); // the balancer has no other target for the refused copy
+  const size_t Before = Target.Requests;
+  Sim.send(0, Flow);
+  EXPECT_EQ(Target.Requests, Before + 1);
+  EXPECT_TRUE(Sim.Resets.empty());
+}
+
 class ReusedPortOffersTest : public ReusedPortTest {};
 
 // Guards against a refusal of the new flow because the targets that the former
