--- a/review/stage-3/Cases.h
+++ b/review/stage-3/Cases.h
@@ -109,17 +109,15 @@
   return verdict(On);
 }
 
-// Planned work only, at random: agents and balancers are restarted, endpoints
-// are emptied and replaced, routes move. Not a case; it looks for some.
-inline int soak(const CaseInput &In) {
+// A ping of another writer reaches one agent: fields are missing or of another
+// type.
+inline int oddPing(const CaseInput &In) {
   WorldOptions Options;
-  Options.Balancers = 3;
-  Options.Agents = 8;
+  Options.Balancers = 2;
+  Options.Agents = 4;
   Options.Folder = In.Folder;
   Options.RecordPath = In.RecordPath;
   Options.Seed = In.Seed;
-  Options.Services = {"shop", "vault"};
-  Options.ServiceOf = [](size_t I) { return I % 3 == 2 ? 1U : 0U; };
   World On(Options);
   On.configure(On.plainConfig(7));
   for (size_t I = 0; I < Options.Balancers; ++I)
@@ -130,71 +128,111 @@
   }
   On.awaitReady();
   On.Events.runFor(2000);
-  uint64_t Random = mix(In.Seed * 31);
-  const auto Below = [&Random](uint64_t Bound) {
-    Random = mix(Random);
-    return Random % Bound;
-  };
-  std::vector<std::unique_ptr<Clients>> Hosted;
-  for (size_t I = 0; I < 4; ++I)
-    Hosted.push_back(On.clients(I));
+
+  const auto Host = On.clients(0);
   uint64_t Requests = 0;
-  uint16_t Port = 20'000;
-  std::map<FlowKey, int64_t> AskAt;
-  On.Events.every(20, [&] {
-    for (auto &Host : Hosted)
-      for (auto Each = Host->flows().begin(); Each != Host->flows().end();) {
-        ClientFlow &Flow = Each->second;
-        if (Flow.State != FlowState::Open && Flow.State != FlowState::Opening) {
-          AskAt.erase(Each->first);
-          Each = Host->flows().erase(Each);
-          continue;
-        }
-        if (Flow.State == FlowState::Open && Flow.Id.empty() &&
-            !Flow.Finished && nowMs() >= AskAt[Each->first]) {
-          if (Flow.Answers > 3 && Below(12) == 0) {
-            Host->close(Flow);
-          } else {
-            Host->ask(Flow, "q" + std::to_string(++Requests), 2 + Below(40));
-            // Most pauses are short, some nearly as long as the idle timeout.
-            AskAt[Each->first] =
-                nowMs() + (Below(4) == 0 ? Below(13'500) : Below(1500));
-          }
-        }
-        ++Each;
-      }
-    for (auto &Host : Hosted)
-      for (int I = 0; I < 2 && Host->flows().size() < 120; ++I)
-        Host->open(++Port, On.route(Below(2)));
+  On.Events.every(50, [&] {
+    for (auto &[Key, Flow] : Host->flows())
+      if (Flow.State == FlowState::Open && Flow.Id.empty() &&
+          nowMs() - Flow.AnsweredAt > 800)
+        Host->ask(Flow, "q" + std::to_string(++Requests), 20);
   });
-  const int64_t End = nowMs() + 90'000;
-  while (In.Trouble && nowMs() < End) {
-    switch (Below(3)) {
-    case 0:
-      On.restartBalancer(Below(Options.Balancers));
-      break;
-    default:
-      On.restartAgent(Below(Options.Agents));
-      break;
-    }
-    On.Events.runFor(static_cast<int64_t>(400 + Below(3500)));
+  for (uint16_t Port = 30'000; Port < 30'040; ++Port) {
+    Host->open(Port, On.route(0));
+    On.Events.runFor(20);
+  }
+  On.Events.runFor(20'000);
+  const auto &Beside = On.Endpoints[0]->options();
+  if (In.Trouble) {
+    // Without zone, and with a number for the version.
+    const std::string Body =
+        "{\"service\":" + quoted(Beside.Service) +
+        ",\"address\":" + quoted(Beside.App.text()) +
+        ",\"version\":3,\"max_concurrency\":2,\"state\":\"ready\","
+        "\"warmup_remaining_ms\":0,\"sequence\":1,\"born\":" +
+        std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(
+                           std::chrono::system_clock::now().time_since_epoch())
+                           .count()) +
+        "}";
+    On.Log.line("a ping of another writer to agent 0: " + Body);
+    callHttp(On.Events, Beside.Pings, "POST", "/api/Endpoints.Heartbeat/i-other",
+             Body, [&On](int Status) {
+               On.Log.line("it is answered with " + std::to_string(Status));
+             });
+  }
+  On.Events.runFor(8000);
+  On.Log.line(std::to_string(Requests) + " requests, " +
+              std::to_string(Host->answers()) + " answers");
+  if (Host->answers() < 400)
+    throw StageError("hardly any request was answered");
+  return verdict(On);
+}
+
+// A figure of limits_table becomes a fraction, and the agents are stopped and
+// started in turn.
+inline int fraction(const CaseInput &In) {
+  WorldOptions Options;
+  Options.Balancers = 2;
+  Options.Agents = 4;
+  Options.Folder = In.Folder;
+  Options.RecordPath = In.RecordPath;
+  Options.Seed = In.Seed;
+  World On(Options);
+  On.configure(On.plainConfig(7));
+  for (size_t I = 0; I < Options.Balancers; ++I)
+    On.startBalancer(I);
+  for (size_t I = 0; I < Options.Agents; ++I) {
+    On.startAgent(I);
+    On.startEndpoint(I);
   }
+  On.awaitReady();
+  On.Events.runFor(2000);
+
+  const auto Host = On.clients(0);
+  uint64_t Requests = 0, Opened = 0;
+  uint16_t Port = 30'000;
+  // Ten clients a second open a flow for one request each.
+  On.Events.every(100, [&] {
+    for (auto &[Key, Flow] : Host->flows())
+      if (Flow.State == FlowState::Open && !Flow.Finished &&
+          Flow.Id.empty()) {
+        if (Flow.Answers == 0)
+          Host->ask(Flow, "q" + std::to_string(++Requests), 5);
+        else
+          Host->close(Flow);
+      }
+    Host->open(++Port, On.route(0));
+    ++Opened;
+  });
   On.Events.runFor(5000);
-  uint64_t Answers = 0, Resets = 0;
-  for (auto &Host : Hosted) {
-    Answers += Host->answers();
-    Resets += Host->resets();
+  const uint64_t Before = Host->answers();
+  On.changeReuseDelay(In.Trouble ? "2.5" : "3");
+  On.Events.runFor(2000);
+  for (size_t I = 0; I < Options.Agents; ++I) {
+    On.restartAgent(I);
+    On.Events.runFor(4000);
   }
-  std::cout << Requests << " requests, " << Answers << " answers, " << Resets
-            << " resets, " << On.ownEnds() << " own ends\n";
+  const uint64_t Answers = Host->answers();
+  const uint64_t Flows = Opened;
+  On.Events.runFor(8000);
+  On.Log.line(std::to_string(Before) + " answers before the change; " +
+              std::to_string(Host->answers() - Answers) + " answers to " +
+              std::to_string(Opened - Flows) + " clients after the restarts");
+  if (Before == 0)
+    throw StageError("no request was answered");
+  if (On.ownEnds() > 0)
+    On.Log.violation("Fault", std::to_string(On.ownEnds()) +
+                                  " times a process ended by itself");
   return verdict(On);
 }
 
 inline int runCase(const std::string &Name, const CaseInput &In) {
   if (Name == "reused-ports")
     return reusedPorts(In);
-  if (Name == "soak")
-    return soak(In);
+  if (Name == "fraction")
+    return fraction(In);
+  if (Name == "odd-ping")
+    return oddPing(In);
   throw StageError("no such case: " + Name);
 }
 
--- a/review/stage-3/World.h
+++ b/review/stage-3/World.h
@@ -101,6 +101,17 @@
     signal(Process, SIGKILL);
     Processes[Process].Restarts = Restarts;
   }
+  // Changes the settings files and sends SIGHUP, as the platform does.
+  void changeReuseDelay(const std::string &Seconds) {
+    Options.ReuseDelay = Seconds;
+    Log.line("reuse_delay_s is now " + Seconds);
+    for (size_t I = 0; I < Processes.size(); ++I) {
+      std::ofstream(Options.Folder + "/" + nameOf(I) + ".json")
+          << settingsOf(I);
+      if (Processes[I].Pid > 0)
+        ::kill(Processes[I].Pid, SIGHUP);
+    }
+  }
   void killAgent(size_t Index) { kill(Options.Balancers + Index, true); }
 
   void configure(const std::string &Config) {
