--- a/review/stage-3/World.h
+++ b/review/stage-3/World.h
@@ -10,6 +10,7 @@
 
 #include <csignal>
 #include <sstream>
+#include <sys/prctl.h>
 #include <sys/wait.h>
 
 namespace stage {
@@ -101,16 +102,13 @@
     signal(Process, SIGKILL);
     Processes[Process].Restarts = Restarts;
   }
-  // Changes the settings files and sends SIGHUP, as the platform does.
+  // Changes the settings files, without a signal.
   void changeReuseDelay(const std::string &Seconds) {
     Options.ReuseDelay = Seconds;
     Log.line("reuse_delay_s is now " + Seconds);
-    for (size_t I = 0; I < Processes.size(); ++I) {
+    for (size_t I = 0; I < Processes.size(); ++I)
       std::ofstream(Options.Folder + "/" + nameOf(I) + ".json")
           << settingsOf(I);
-      if (Processes[I].Pid > 0)
-        ::kill(Processes[I].Pid, SIGHUP);
-    }
   }
   void killAgent(size_t Index) { kill(Options.Balancers + Index, true); }
 
@@ -277,6 +275,7 @@
     if (Pid < 0)
       throw StageError("cannot fork");
     if (Pid == 0) {
+      ::prctl(PR_SET_PDEATHSIG, SIGKILL); // it does not outlive the stage
       const int Out =
           ::open(LogPath.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0600);
       ::dup2(Out, 1);
