--- a/review/stage-3/Cases.h
+++ b/review/stage-3/Cases.h
@@ -168,6 +168,84 @@
   return verdict(On);
 }
 
+// An endpoint leaves and starts again under its id. A partition holds its
+// deregistration up, which arrives when the new run has flows.
+inline int lateDeregistration(const CaseInput &In) {
+  WorldOptions Options;
+  Options.Balancers = 2;
+  Options.Agents = 4;
+  Options.Folder = In.Folder;
+  Options.RecordPath = In.RecordPath;
+  Options.Seed = In.Seed;
+  World On(Options);
+  On.configure(On.plainConfig(7));
+  for (size_t I = 0; I < Options.Balancers; ++I)
+    On.startBalancer(I);
+  for (size_t I = 0; I < Options.Agents; ++I) {
+    On.startAgent(I);
+    On.startEndpoint(I);
+  }
+  On.awaitReady();
+  On.Events.runFor(2000);
+
+  const auto Host = On.clients(0);
+  uint64_t Requests = 0;
+  uint16_t Port = 30'000;
+  constexpr size_t OpenFlows = 40;
+  On.Events.every(50, [&] {
+    size_t Alive = 0;
+    for (auto &[Key, Flow] : Host->flows()) {
+      if (Flow.State == FlowState::Open && Flow.Id.empty() && !Flow.Finished &&
+          nowMs() - Flow.AnsweredAt > 800) {
+        if (Flow.Answers < 8)
+          Host->ask(Flow, "q" + std::to_string(++Requests), 20);
+        else
+          Host->close(Flow);
+      }
+      Alive += Flow.State == FlowState::Open ||
+                       Flow.State == FlowState::Opening
+                   ? 1
+                   : 0;
+    }
+    // Ended flows are replaced by others from new ports.
+    if (Alive < OpenFlows)
+      Host->open(++Port, On.route(0));
+  });
+  On.Events.runFor(5000);
+  On.Log.line("endpoint 0 drains");
+  On.Endpoints[0]->drain();
+  On.Events.runFor(5000);
+  const Address Pings = On.Endpoints[0]->options().Pings;
+  const auto Deregister = [&] {
+    callHttp(On.Events, Pings, "POST", "/api/Endpoints.Deregister/i-0", "",
+             [&On](int Status) {
+               On.Log.line("the deregistration is answered with " +
+                           std::to_string(Status));
+             });
+  };
+  On.Log.line("endpoint 0 deregisters");
+  // A partition of 7 s between the endpoint and its agent: TCP sends the call
+  // again after 0.2, 0.6, 1.4, 3, 6.2 and 12.6 s.
+  if (In.Trouble)
+    On.Events.after(12'600, Deregister);
+  else
+    Deregister();
+  On.Events.runFor(2000);
+  On.Log.line("endpoint 0 exits");
+  On.endEndpoint(0);
+  On.Events.runFor(5500);
+  On.Log.line("endpoint 0 starts again");
+  On.startEndpoint(0);
+  On.Events.runFor(14'000);
+  On.Log.line(std::to_string(Requests) + " requests, " +
+              std::to_string(Host->answers()) + " answers, " +
+              std::to_string(On.Endpoints[0]->openings().size()) +
+              " openings at the new run");
+  if (On.Endpoints[0]->openings().empty())
+    throw StageError("the new run got no flow");
+  return verdict(On);
+}
+
 // A figure of limits_table becomes a fraction, and the agents are stopped and
 // started in turn.
 inline int fraction(const CaseInput &In) {
@@ -229,6 +307,8 @@
 inline int runCase(const std::string &Name, const CaseInput &In) {
   if (Name == "reused-ports")
     return reusedPorts(In);
+  if (Name == "late-deregistration")
+    return lateDeregistration(In);
   if (Name == "fraction")
     return fraction(In);
   if (Name == "odd-ping")
