--- a/review/stage-3/World.h
+++ b/review/stage-3/World.h
@@ -38,12 +38,7 @@
 public:
   explicit World(WorldOptions InitOptions)
       : Options(std::move(InitOptions)), Log(Options.RecordPath),
-        // Another network for each run, so that runs do not disturb each other.
-        Net(127U << 24 |
-            (20 + static_cast<uint32_t>(mix(static_cast<uint64_t>(getpid())) %
-                                        200))
-                << 16),
-        PlatformStore(Events, {Net | 1, StorePort}) {
+        Net(freeNet()), PlatformStore(Events, {Net | 1, StorePort}) {
     Processes.resize(Options.Balancers + Options.Agents);
     Endpoints.resize(Options.Agents);
     Misses.resize(Options.Balancers, 2);
@@ -197,6 +192,23 @@
   std::vector<std::unique_ptr<Endpoint>> Endpoints;
 
 private:
+  // Returns a network of loopback addresses that no other run uses.
+  static uint32_t freeNet() {
+    for (uint64_t Try = 0; Try < 100; ++Try) {
+      const uint64_t Hash = mix(static_cast<uint64_t>(getpid()) + (Try << 32));
+      const uint32_t Result =
+          127U << 24 | (20 + static_cast<uint32_t>(Hash % 200)) << 16;
+      const int Fd = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+      const sockaddr_in Native = Address{Result | 1, StorePort}.native();
+      const bool Free = ::bind(Fd, reinterpret_cast<const sockaddr *>(&Native),
+                               sizeof Native) == 0;
+      ::close(Fd);
+      if (Free)
+        return Result;
+    }
+    throw StageError("no free addresses");
+  }
+
   struct Process {
     pid_t Pid = 0;
     bool Signalled = false, Restarts = false;
