--- a/review/stage-3/Cases.h
+++ b/review/stage-3/Cases.hh
@@ -1,8 +1,8 @@
 // The cases, by name.
-#ifndef STAGE_CASES_H
-#define STAGE_CASES_H
+#ifndef STAGE_CASES_HH
+#define STAGE_CASES_HH
 
-#include "World.h"
+#include "World.hh"
 
 #include <iostream>
 
@@ -85,8 +85,9 @@
   On.Events.runFor(3000);
   Asking = false; // the endpoints close the idle flows
   On.Events.runFor(9000);
-  On.Log.line(std::to_string(Count(FlowState::Closed)) + " flows have closed, " +
-              std::to_string(Count(FlowState::Open)) + " are open");
+  On.Log.line(std::to_string(Count(FlowState::Closed)) +
+              " flows have closed, " + std::to_string(Count(FlowState::Open)) +
+              " are open");
   On.Events.runFor(15000);
   Asking = true;
   OpenAll();
@@ -155,8 +156,8 @@
                            .count()) +
         "}";
     On.Log.line("a ping of another writer to agent 0: " + Body);
-    callHttp(On.Events, Beside.Pings, "POST", "/api/Endpoints.Heartbeat/i-other",
-             Body, [&On](int Status) {
+    callHttp(On.Events, Beside.Pings, "POST",
+             "/api/Endpoints.Heartbeat/i-other", Body, [&On](int Status) {
                On.Log.line("it is answered with " + std::to_string(Status));
              });
   }
@@ -202,8 +203,7 @@
         else
           Host->close(Flow);
       }
-      Alive += Flow.State == FlowState::Open ||
-                       Flow.State == FlowState::Opening
+      Alive += Flow.State == FlowState::Open || Flow.State == FlowState::Opening
                    ? 1
                    : 0;
     }
@@ -272,8 +272,7 @@
   // Ten clients a second open a flow for one request each.
   On.Events.every(100, [&] {
     for (auto &[Key, Flow] : Host->flows())
-      if (Flow.State == FlowState::Open && !Flow.Finished &&
-          Flow.Id.empty()) {
+      if (Flow.State == FlowState::Open && !Flow.Finished && Flow.Id.empty()) {
         if (Flow.Answers == 0)
           Host->ask(Flow, "q" + std::to_string(++Requests), 5);
         else
--- a/review/stage-3/Client.h
+++ b/review/stage-3/Client.hh
@@ -1,10 +1,10 @@
 // Clients after the platform's page: they open flows with up to three copies,
 // send one request after the other, and repeat what is not acknowledged.
-#ifndef STAGE_CLIENT_H
-#define STAGE_CLIENT_H
+#ifndef STAGE_CLIENT_HH
+#define STAGE_CLIENT_HH
 
-#include "Packet.h"
-#include "Record.h"
+#include "Packet.hh"
+#include "Record.hh"
 
 #include <optional>
 
@@ -141,11 +141,11 @@
              (Each.Id.empty() ? "" : ", while " + Each.Id + " waits") +
              (In.Sum == 0 ? ", sent by the system" : ", sent by an endpoint"));
     if (Held && In.Sum == 0)
-      Log.violation("FLOW", "open flow " + Each.Key.text() +
-                                " was reset while its endpoint holds it" +
-                                (Each.Id.empty() ? ""
-                                                 : "; " + Each.Id +
-                                                       " was never answered"));
+      Log.violation(
+          "FLOW",
+          "open flow " + Each.Key.text() +
+              " was reset while its endpoint holds it" +
+              (Each.Id.empty() ? "" : "; " + Each.Id + " was never answered"));
     Each.State = FlowState::Reset;
     Each.Unacked.reset();
   }
--- a/review/stage-3/Endpoint.h
+++ b/review/stage-3/Endpoint.hh
@@ -1,11 +1,11 @@
 // An endpoint after the platform's page: it holds flows, works on requests in
 // its slots, returns packets of flows that it does not hold, and sends pings.
-#ifndef STAGE_ENDPOINT_H
-#define STAGE_ENDPOINT_H
+#ifndef STAGE_ENDPOINT_HH
+#define STAGE_ENDPOINT_HH
 
-#include "Http.h"
-#include "Packet.h"
-#include "Record.h"
+#include "Http.hh"
+#include "Packet.hh"
+#include "Record.hh"
 
 #include <optional>
 
@@ -83,9 +83,7 @@
     bool Working = false;
   };
 
-  void send(Packet Out) {
-    Socket.send(Out.seal(), Own.Outbound);
-  }
+  void send(Packet Out) { Socket.send(Out.seal(), Own.Outbound); }
   Packet from(const FlowKey &Key, const Flow &Each, uint8_t Flags) const {
     Packet Out;
     Out.From = Key.Route;
--- a/review/stage-3/Http.h
+++ b/review/stage-3/Http.hh
@@ -1,10 +1,11 @@
 // A small HTTP/1.1 server and client on the event loop.
-#ifndef STAGE_HTTP_H
-#define STAGE_HTTP_H
+#ifndef STAGE_HTTP_HH
+#define STAGE_HTTP_HH
 
-#include "Json.h"
-#include "Loop.h"
+#include "Json.hh"
+#include "Loop.hh"
 
+#include <cerrno>
 #include <netinet/tcp.h>
 #include <set>
 #include <utility>
@@ -115,9 +116,8 @@
     ::setsockopt(New, IPPROTO_TCP, TCP_NODELAY, &On, sizeof On);
     auto Created = std::make_shared<Connection>(Events, New);
     Open.insert(Created);
-    Events.watch(New, [this, Raw = Created.get()] {
-      read(Raw->shared_from_this());
-    });
+    Events.watch(
+        New, [this, Raw = Created.get()] { read(Raw->shared_from_this()); });
   }
   void read(const Out &From) {
     char Buffer[65536];
@@ -175,8 +175,8 @@
   const sockaddr_in Native = To.native();
   ::connect(Fd, reinterpret_cast<const sockaddr *>(&Native), sizeof Native);
   // Loopback connections are established at once or refused.
-  const std::string Text = Method + " " + Path + " HTTP/1.1\r\nHost: " +
-                           To.text() +
+  const std::string Text = Method + " " + Path +
+                           " HTTP/1.1\r\nHost: " + To.text() +
                            "\r\nContent-Type: application/json\r\n"
                            "Connection: close\r\nContent-Length: " +
                            std::to_string(Body.size()) + "\r\n\r\n" + Body;
--- a/review/stage-3/Json.h
+++ b/review/stage-3/Json.hh
@@ -1,9 +1,10 @@
 // JSON values, a reader for the bodies that the daemons send, and base64.
-#ifndef STAGE_JSON_H
-#define STAGE_JSON_H
+#ifndef STAGE_JSON_HH
+#define STAGE_JSON_HH
 
 #include <cstdint>
 #include <cstdlib>
+#include <cstring>
 #include <map>
 #include <string>
 #include <vector>
@@ -34,8 +35,8 @@
 private:
   explicit JsonReader(const std::string &InitText) : Text(InitText) {}
   void skip() {
-    while (At < Text.size() && std::string(" \t\r\n,:").find(Text[At]) !=
-                                   std::string::npos)
+    while (At < Text.size() &&
+           std::string(" \t\r\n,:").find(Text[At]) != std::string::npos)
       ++At;
   }
   Json value() {
@@ -104,8 +105,8 @@
       Group = Group << 8 |
               (I + J < Data.size() ? static_cast<uint8_t>(Data[I + J]) : 0U);
     for (size_t J = 0; J < 4; ++J)
-      Result += I + J <= Data.size() ? Base64Digits[Group >> (18 - 6 * J) & 63]
-                                     : '=';
+      Result +=
+          I + J <= Data.size() ? Base64Digits[Group >> (18 - 6 * J) & 63] : '=';
   }
   return Result;
 }
--- a/review/stage-3/Loop.h
+++ b/review/stage-3/Loop.hh
@@ -1,7 +1,7 @@
 // A single-threaded event loop on poll(2), with timers, and the plumbing that
 // all stand-ins share: addresses, UDP sockets, hashes.
-#ifndef STAGE_LOOP_H
-#define STAGE_LOOP_H
+#ifndef STAGE_LOOP_HH
+#define STAGE_LOOP_HH
 
 #include <algorithm>
 #include <arpa/inet.h>
@@ -44,8 +44,7 @@
   auto operator<=>(const Address &) const = default;
   std::string ip() const {
     return std::to_string(Ip >> 24) + "." + std::to_string(Ip >> 16 & 255) +
-           "." + std::to_string(Ip >> 8 & 255) + "." +
-           std::to_string(Ip & 255);
+           "." + std::to_string(Ip >> 8 & 255) + "." + std::to_string(Ip & 255);
   }
   std::string text() const { return ip() + ":" + std::to_string(Port); }
   sockaddr_in native() const {
--- a/review/stage-3/Packet.h
+++ b/review/stage-3/Packet.hh
@@ -1,8 +1,8 @@
 // Packets between clients and endpoints, after the platform's page.
-#ifndef STAGE_PACKET_H
-#define STAGE_PACKET_H
+#ifndef STAGE_PACKET_HH
+#define STAGE_PACKET_HH
 
-#include "Loop.h"
+#include "Loop.hh"
 
 namespace stage {
 
--- a/review/stage-3/Record.h
+++ b/review/stage-3/Record.hh
@@ -1,8 +1,8 @@
 // The record of a case: what was sent, answered and run, and which rules broke.
-#ifndef STAGE_RECORD_H
-#define STAGE_RECORD_H
+#ifndef STAGE_RECORD_HH
+#define STAGE_RECORD_HH
 
-#include "Loop.h"
+#include "Loop.hh"
 
 #include <fstream>
 
--- a/review/stage-3/Store.h
+++ b/review/stage-3/Store.hh
@@ -1,9 +1,9 @@
 // A stand-in of the platform's metadata store, after its page: items, ranges,
 // watches, transactions and leases. It is linearizable and loses nothing.
-#ifndef STAGE_STORE_H
-#define STAGE_STORE_H
+#ifndef STAGE_STORE_HH
+#define STAGE_STORE_HH
 
-#include "Http.h"
+#include "Http.hh"
 
 #include <optional>
 
@@ -154,8 +154,8 @@
       std::string Text;
       for (const Json &Each : Body["expected_revision"].Items)
         if (const auto Item = Items.find(Each["key"].Text); Item != Items.end())
-          Text += (Text.empty() ? "" : ",") +
-                  itemText(Item->first, Item->second);
+          Text +=
+              (Text.empty() ? "" : ",") + itemText(Item->first, Item->second);
       return To->answer(412, "{\"items\":[" + Text + "]}");
     }
     for (const Json &Each : Body["write"].Items)
--- a/review/stage-3/World.h
+++ b/review/stage-3/World.hh
@@ -1,12 +1,12 @@
 // The stage: balancers and agents as separate processes, started with the
 // commands and templates of the deploy file, between stand-ins of the platform,
 // endpoints and clients, all on loopback addresses.
-#ifndef STAGE_WORLD_H
-#define STAGE_WORLD_H
+#ifndef STAGE_WORLD_HH
+#define STAGE_WORLD_HH
 
-#include "Client.h"
-#include "Endpoint.h"
-#include "Store.h"
+#include "Client.hh"
+#include "Endpoint.hh"
+#include "Store.hh"
 
 #include <csignal>
 #include <sstream>
@@ -114,8 +114,8 @@
     std::string Routes, Services;
     for (size_t I = 0; I < Options.Services.size(); ++I) {
       const std::string Comma = I == 0 ? "" : ",";
-      Routes += Comma + "{\"name\":\"r" + std::to_string(I) +
-                "\",\"host\":\"" + route(I).ip() +
+      Routes += Comma + "{\"name\":\"r" + std::to_string(I) + "\",\"host\":\"" +
+                route(I).ip() +
                 "\",\"prefix\":\"/443/\",\"route_type\":\"non_idempotent\","
                 "\"timeout_ms\":6000,\"target_latency_ms\":300,\"priority\":1,"
                 "\"service\":\"" +
--- a/review/stage-3/main.cpp
+++ b/review/stage-3/main.cc
@@ -1,7 +1,8 @@
-// Plays a case on the stage. Usage: stage CASE FOLDER RECORD SEED, from the root of
-// the repository; the environment variable TROUBLE=0 leaves the disruption out.
-// Ends with 1 if a rule was broken, 0 if all held, 2 if the case could not run.
-#include "Cases.h"
+// Plays a case on the stage. Usage: stage CASE FOLDER RECORD SEED, from the
+// root of the repository; the environment variable TROUBLE=0 leaves the
+// disruption out. Ends with 1 if a rule was broken, 0 if all held, 2 if the
+// case could not run.
+#include "Cases.hh"
 
 #include <iostream>
 
