--- a/packages/flowd/src/FlowReports.cpp
+++ b/packages/flowd/src/FlowReports.cpp
@@ -153,6 +153,8 @@
   Registry.gauge("open_flows").set(Core.openFlows());
   Registry.gauge("flow_records_dropped_early")
       .set(static_cast<int64_t>(Core.earlyDrops()));
+  Registry.gauge("flow_returns_unproven")
+      .set(static_cast<int64_t>(Core.unprovenReturns()));
   Registry.gauge("requests_waiting").set(Core.waiting());
   Registry.gauge("openings_held").set(static_cast<int64_t>(Core.held()));
   Registry.gauge("slots").set(Core.slots());
--- a/packages/flows/include/burdockstream/flows/FlowAgent.h
+++ b/packages/flows/include/burdockstream/flows/FlowAgent.h
@@ -216,6 +216,9 @@
   size_t flows() const { return Flows.size(); }
   // Number of records that were dropped since there were too many.
   uint64_t earlyDrops() const { return EarlyDrops; }
+  // Number of packets that the target has returned although there is a record
+  // for their key, whose sequence numbers do not show that it is of their flow.
+  uint64_t unprovenReturns() const { return UnprovenReturns; }
   // Number of flows that the target holds and has not closed.
   uint32_t openFlows() const { return OpenFlows; }
   uint32_t slots() const { return Slots; }
@@ -251,7 +254,10 @@
     // not seen any.
     std::optional<uint32_t> OpeningSequence;
     bool OpenedByCopy = false; // the first one that the agent has seen
-    SequenceRange Sent;        // by the target
+    // The record is older than the opening packet, which may be a copy or open
+    // another flow.
+    bool MayBeFormer = false;
+    SequenceRange Sent; // by the target
   };
   struct Balancer {
     base::SocketAddress Address;
@@ -281,8 +287,7 @@
     return KnowsAllFlows && Retention.coversAllFlows(LastTick);
   }
   void ageRecords(base::TimePoint Now);
-  bool deniesFlow(const Packet &Packet, const FlowRecord &Record);
-  static bool belongsTo(const Packet &Packet, const FlowRecord &Record);
+  static bool mayDescribe(const FlowRecord &Record, const Packet &Packet);
   static bool isCopyOf(const Packet &Opening, const FlowRecord &Record);
   void onTrial(base::SocketAddress From, const Packet &Packet,
                base::TimePoint Now);
@@ -314,6 +319,8 @@
               std::span<const uint8_t> Body);
   void recordOpening(FlowRecord &Record, const FlowKey &Flow,
                      base::TimePoint Now);
+  void recordAcceptance(FlowRecord &Record, const Packet &Packet,
+                        base::TimePoint Now);
   void completeTrials(base::TimePoint Now);
   void completeTrial(const FlowKey &Flow);
   void expireOpenings(base::TimePoint Now);
@@ -356,6 +363,7 @@
   AgingMap<bool> ResetByClient;
   RecordRetention Retention;
   uint64_t EarlyDrops = 0;
+  uint64_t UnprovenReturns = 0;
   base::TimePoint LastTick{};
   base::TimePoint NextNotHeldAging{};
   FlowTimeQueue Openings;    // delivered opening packets
--- a/packages/flows/src/AgentOpenings.cpp
+++ b/packages/flows/src/AgentOpenings.cpp
@@ -77,8 +77,10 @@
   if (Now < WarmupEnd && !Flows.use(Packet.Flow))
     Warmup.record(Now);
   FlowRecord &Record = Flows.insert(Packet.Flow);
-  if (!Record.OpeningSequence)
+  if (!Record.OpeningSequence) {
     Record.OpenedByCopy = Packet.Acknowledged != 0;
+    Record.MayBeFormer = !Record.Sent.isEmpty();
+  }
   Record.OpeningSequence = Packet.Sequence;
   Record.Class = static_cast<WorkClass>(
       std::min<size_t>(Header.WorkClass, WorkClasses - 1));
@@ -131,6 +133,22 @@
   Openings.add(Flow, Now);
 }
 
+// Records that the target accepts the flow of Record. Nothing that was recorded
+// before the opening packet is kept, since it may be of a former flow.
+void FlowAgent::recordAcceptance(FlowRecord &Record, const Packet &Packet,
+                                 base::TimePoint Now) {
+  if (Record.MayBeFormer) {
+    stopCounting(Record);
+    FlowRecord New;
+    New.Class = Record.Class;
+    New.OpeningSequence = Record.OpeningSequence;
+    New.OpenedByCopy = Record.OpenedByCopy;
+    Record = New;
+    recordOpening(Record, Packet.Flow, Now);
+  }
+  Record.Sent.start(Packet.Sequence, Record.OpenedByCopy || !hasAllRecords());
+}
+
 void FlowAgent::expireOpenings(base::TimePoint Now) {
   Openings.popOlderThan(OpeningTimeoutHandshakes * MeanHandshake, Now,
                         [this](const FlowKey &Flow, base::TimePoint) {
--- a/packages/flows/src/AgentSearches.cpp
+++ b/packages/flows/src/AgentSearches.cpp
@@ -11,33 +11,27 @@
       std::min(Packet.Bytes.size(), Options.PacketHeaderBytes));
 }
 
-// Returns whether a client's Packet may be one of the flow of Record, rather
-// than of another flow with the same key: the client uses the port again, or
-// another target has accepted a copy of the opening packet too. Where sequence
-// numbers do not tell, a flow that both sides have closed has no more packets.
-bool FlowAgent::belongsTo(const Packet &Packet, const FlowRecord &Record) {
-  const bool IsClosed = Record.Closing && Record.ClosedByClient;
-  return Record.Sent.contains(Packet.Acknowledged) &&
-         (Record.Sent.isUnambiguous() || !IsClosed);
-}
-
-// Returns whether the target cannot hold the flow of a client's Packet, since
-// it has sent packets of another flow with the same key, that of Record.
-bool FlowAgent::deniesFlow(const Packet &Packet, const FlowRecord &Record) {
-  return Record.Sent.excludes(Packet.Acknowledged) ||
-         (!belongsTo(Packet, Record) && knowsNotHeld(Packet.Flow));
-}
-
 // Returns the kind of frame that answers whether the target holds the flow. The
 // service that a search names is no evidence: it is that of the target as far
 // as the balancer knows.
+//
+// A record may be that of another flow with the same key: the client uses the
+// port again, or another target has accepted a copy of the opening packet too.
+// If the sequence numbers prove nothing, only the target can tell. Where they
+// never do, a flow that both sides have closed has no more packets.
 FrameKind FlowAgent::lookUpFlow(const Packet &Packet) {
   const FlowRecord *Record = Flows.use(Packet.Flow);
-  if (State != TargetState::Stopped && Record) {
-    if (belongsTo(Packet, *Record))
+  if (State != TargetState::Stopped && Record && !Record->Sent.isEmpty()) {
+    const bool IsClosed = Record->Closing && Record->ClosedByClient;
+    switch (Record->Sent.match(Packet.Acknowledged)) {
+    case SequenceMatch::Same:
       return FrameKind::Held;
-    if (deniesFlow(Packet, *Record))
+    case SequenceMatch::Other:
       return FrameKind::NotHeld;
+    case SequenceMatch::Unknown:
+      if (!Record->Sent.isAmbiguous() || !IsClosed)
+        return FrameKind::Undecided;
+    }
   }
   return knowsNotHeld(Packet.Flow) ? FrameKind::NotHeld : FrameKind::Undecided;
 }
@@ -80,7 +74,8 @@
   if (!Done)
     return; // the packet was returned, or the trial has ended
   const FlowRecord *Record = Flows.use(Flow);
-  const bool OfAnother = Record && Record->Sent.excludes(Done->Acknowledged);
+  const bool OfAnother =
+      Record && Record->Sent.match(Done->Acknowledged) == SequenceMatch::Other;
   answer(Senders[Done->Balancer],
          OfAnother ? FrameKind::NotHeld : FrameKind::Held, ReturnReason::None,
          Done->Header);
--- a/packages/flows/src/FlowAgent.cpp
+++ b/packages/flows/src/FlowAgent.cpp
@@ -71,10 +71,11 @@
                   Packet.Bytes);
   // The balancer's entry is that of a former flow with the same key. The target
   // would answer data of an ended flow with a reset.
-  if (Record && !Packet.Aborts && deniesFlow(Packet, *Record))
+  if (Record && !Packet.Aborts && lookUpFlow(Packet) == FrameKind::NotHeld)
     return answer(From, FrameKind::Returned, ReturnReason::NotHeld,
                   Packet.Bytes);
-  if (Record) {
+  const bool OfRecord = Record && mayDescribe(*Record, Packet);
+  if (OfRecord) {
     recordRequest(*Record, Packet, Now);
     Record->ClosedByClient = Record->ClosedByClient || Packet.Finishes;
   }
@@ -85,6 +86,13 @@
   ResetByClient.insert(Packet.Flow) = true;
 }
 
+// Returns whether to record a client's Packet in Record: its sequence numbers
+// show that it belongs to the flow, or never distinguish that from others.
+bool FlowAgent::mayDescribe(const FlowRecord &Record, const Packet &Packet) {
+  return Record.Sent.isEmpty() || Record.Sent.isAmbiguous() ||
+         Record.Sent.match(Packet.Acknowledged) == SequenceMatch::Same;
+}
+
 void FlowAgent::deliver(base::SocketAddress From, const Packet &Packet,
                         bool IsTrial) {
   Hooks.Stamp(Packet.Bytes, makeTag(balancerIndex(From), IsTrial));
@@ -102,7 +110,9 @@
 
 void FlowAgent::recordRequest(FlowRecord &Record, const Packet &Packet,
                               base::TimePoint Now) {
-  Record.Acknowledged = Packet.Acknowledged;
+  // The number of a reset must not be that of another flow with this key.
+  if (Record.Sent.match(Packet.Acknowledged) == SequenceMatch::Same)
+    Record.Acknowledged = Packet.Acknowledged;
   if (!isNewer(Record, Packet))
     return;
   Record.RequestEnd = Packet.Sequence + Packet.DataBytes;
@@ -163,12 +173,13 @@
   if (ResetByClient.use(Packet.Flow))
     Record.Closing = Record.ClosedByClient = true;
   if (Packet.Accepts)
-    Record.Sent.start(Packet.Sequence, Record.OpenedByCopy || !hasAllRecords());
+    recordAcceptance(Record, Packet, Now);
   else if (!Packet.Aborts)
     Record.Sent.extend(Packet.Sequence,
                        Packet.DataBytes + (Packet.Finishes ? 1U : 0U));
   if (const Trial *Pending = Trials.use(Packet.Flow);
-      Pending && Record.Sent.contains(Pending->Acknowledged))
+      Pending &&
+      Record.Sent.match(Pending->Acknowledged) == SequenceMatch::Same)
     completeTrial(Packet.Flow);
   if (!Packet.Accepts && !Packet.Aborts) {
     Record.Open = true;
@@ -213,14 +224,25 @@
     return; // stamped by an earlier process of this agent
   const base::SocketAddress From = Senders[Index];
   Hooks.Stamp(Packet.Bytes, 0);
-  const FlowRecord *Record = Flows.use(Packet.Flow);
-  const bool WasOpen = Record && Record->Open && belongsTo(Packet, *Record);
-  forget(Packet.Flow);
-  if (Packet.Opens)
+  if (Packet.Opens) {
+    forget(Packet.Flow);
     return answer(From, FrameKind::Returned, ReturnReason::Refused,
                   Packet.Bytes);
-  NotHeld.insert(Packet.Flow) = true;
+  }
   Trials.erase(Packet.Flow);
+  FlowRecord *Record = Flows.use(Packet.Flow);
+  const bool Proven =
+      Record && Record->Sent.match(Packet.Acknowledged) == SequenceMatch::Same;
+  const bool WasOpen = Proven && Record->Open;
+  if (Record && !Proven && !Record->Sent.isEmpty()) {
+    // The target may hold the recorded flow, and another one was returned. If
+    // it does not, the record must not count as an open flow.
+    stopCounting(*Record);
+    ++UnprovenReturns;
+  } else {
+    forget(Packet.Flow);
+    NotHeld.insert(Packet.Flow) = true;
+  }
   if (WasOpen) {
     // This flow was open at this target, so no other target can hold it.
     Hooks.SendReset(Packet.Flow, Packet.Acknowledged);
--- a/packages/flows/test/AgentTest.cpp
+++ b/packages/flows/test/AgentTest.cpp
@@ -165,6 +165,7 @@
   Sim.sendHeartbeat(0);
   Packet Value;
   Value.Flow = Simulation::flow(1);
+  Value.Acknowledged = Sim.acknowledged(Value.Flow);
   Value.DataBytes = 100;
   FrameHeader Header;
   Header.Service = base::serviceIdOf(Vault);
--- a/packages/flows/test/FlowFixture.cpp
+++ b/packages/flows/test/FlowFixture.cpp
@@ -1,7 +1,7 @@
 #include "FlowFixture.h"
 
 #include <algorithm>
-#include <cstring>
+#include <utility>
 
 namespace burdockstream::flows::test {
 
@@ -12,7 +12,6 @@
 constexpr uint16_t DaemonPort = 7000;
 // Spreads the numbers at which flows start over all 32 bits.
 constexpr uint32_t SequenceStep = 0x9E3779B1;
-constexpr uint8_t DataByte = 0xFF; // four of them are not a valid index
 
 std::pair<uint64_t, uint64_t> keyOf(const FlowKey &Flow) {
   return {base::packAddress(Flow.Client), base::packAddress(Flow.Service)};
@@ -20,43 +19,6 @@
 
 } // namespace
 
-Packet PacketRegistry::write(Packet Value, Sender Writer) {
-  const auto Index = static_cast<uint32_t>(Packets.size());
-  Storage.emplace_back(sizeof(Index) + Value.DataBytes, DataByte);
-  std::memcpy(Storage.back().data(), &Index, sizeof(Index));
-  Packets.push_back(Value);
-  Writers.push_back(Writer);
-  Value.Bytes = Storage.back();
-  return Value;
-}
-
-Packet PacketRegistry::read(std::span<uint8_t> Bytes) const {
-  uint32_t Index = 0;
-  std::memcpy(&Index, Bytes.data(), sizeof(Index));
-  Packet Value = Packets[Index];
-  Value.Bytes = Bytes;
-  return Value;
-}
-
-std::optional<Packet>
-PacketRegistry::readClientHeader(std::span<uint8_t> Bytes) const {
-  uint32_t Index = 0;
-  std::memcpy(&Index, Bytes.data(), sizeof(Index));
-  if (Index >= Packets.size())
-    return std::nullopt;
-  Packet Value = read(Bytes);
-  if (Writers[Index] == Sender::Target)
-    std::swap(Value.Flow.Client, Value.Flow.Service);
-  return Value;
-}
-
-void PacketRegistry::stamp(std::span<uint8_t> Bytes, uint32_t Tag) {
-  uint32_t Index = 0;
-  std::memcpy(&Index, Bytes.data(), sizeof(Index));
-  Packets[Index].Tag = Tag;
-  Packets[Index].Returned = false;
-}
-
 Simulation::Simulation() = default;
 
 size_t Simulation::addBalancer(const std::string &Domain) {
@@ -88,8 +50,9 @@
                                 std::span<const uint8_t> Body) {
     Frames.push_back({Own, To, Header, {Body.begin(), Body.end()}});
   };
-  Hooks.SendReset = [this](const FlowKey &Flow, uint32_t) {
+  Hooks.SendReset = [this](const FlowKey &Flow, uint32_t Sequence) {
     Resets.push_back(Flow);
+    ResetSequences.push_back(Sequence);
   };
   Hooks.OnDecision = [this](const FlowDecision &Decision) {
     Decisions.push_back(Decision);
@@ -121,8 +84,9 @@
     std::vector<uint8_t> Copy(Bytes.begin(), Bytes.end());
     onClientReceived(Registry.read(Copy));
   };
-  Hooks.SendReset = [this](const FlowKey &Flow, uint32_t) {
+  Hooks.SendReset = [this](const FlowKey &Flow, uint32_t Sequence) {
     Resets.push_back(Flow);
+    ResetSequences.push_back(Sequence);
   };
   Hooks.SendFrame = [this, &Place](base::SocketAddress To,
                                    const FrameHeader &Header,
@@ -259,6 +223,8 @@
 // A client chooses the first target that accepts its flow, and acknowledges
 // what that one has sent.
 void Simulation::onClientReceived(const Packet &Received) {
+  if (Received.Aborts)
+    return; // no test reopens a flow that the client accepts a reset of
   const uint32_t Next =
       Received.Sequence + Received.DataBytes + (Received.Accepts ? 1 : 0);
   const auto [Known, Added] =
@@ -356,7 +322,12 @@
 void Simulation::receiveAtTarget(SimulatedAgent &Place, const Packet &Arrived) {
   Packet Answer = Arrived;
   const auto Key = keyOf(Arrived.Flow);
-  const bool Holds = Place.Target.Held.count(Key) != 0;
+  const auto Known = Place.Target.Held.find(Key);
+  const bool Holds =
+      Known != Place.Target.Held.end() &&
+      (Arrived.Opens ? Arrived.Sequence == Known->second.ClientFirst
+                     : Arrived.Acknowledged - Known->second.First <=
+                           Known->second.Next - Known->second.First);
   if (Arrived.Aborts && Holds) {
     Place.Target.Held.erase(Key);
     return;
@@ -370,8 +341,9 @@
   }
   if (Arrived.Opens && !Holds) {
     // Each target starts elsewhere, and each of its flows too.
-    const auto Started = ++NextSequence * SequenceStep;
-    Place.Target.Held[Key] = {Started, Started + 1};
+    const uint32_t Started = std::exchange(NextStart, std::nullopt)
+                                 .value_or(++NextSequence * SequenceStep);
+    Place.Target.Held[Key] = {Started, Started + 1, Arrived.Sequence};
     Place.Target.Opened.push_back(Arrived.Flow);
   }
   if (Arrived.DataBytes > 0)
--- a/packages/flows/test/FlowFixture.h
+++ b/packages/flows/test/FlowFixture.h
@@ -39,11 +39,13 @@
   std::deque<std::vector<uint8_t>> Storage;
 };
 
-// A fake target. It returns packets of flows that it does not hold.
+// A fake target. It returns packets of flows that it does not hold; a packet
+// that acknowledges none of its numbers belongs to another flow.
 struct FakeTarget {
   struct SequenceNumbers {
     uint32_t First = 0; // in the answer to the opening packet
     uint32_t Next = 0;
+    uint32_t ClientFirst = 0; // in the client's opening packet
   };
   // Flows that it holds, with its sequence numbers.
   std::map<std::pair<uint64_t, uint64_t>, SequenceNumbers> Held;
@@ -132,6 +134,7 @@
   std::deque<SimulatedAgent> Agents;
   std::deque<SimulatedBalancer> Balancers;
   std::vector<FlowKey> Resets;
+  std::vector<uint32_t> ResetSequences; // of Resets
   std::vector<FlowDecision> Decisions;
   std::vector<std::pair<base::Revision, base::SocketAddress>> NewerRoutes;
   // Balancers that reported a missing entry.
@@ -158,6 +161,8 @@
   std::vector<base::Duration> CopyTimes;
   // Clients' sequence number of opening packets from now on.
   uint32_t OpeningSequence = 0;
+  // Target's sequence number of the next flow that is accepted, if set.
+  std::optional<uint32_t> NextStart;
   PacketRegistry Registry;
   base::TimePoint Now = base::TimePoint(std::chrono::seconds(100));
 
--- a/packages/flows/test/ReusedPortTest.cpp
+++ b/packages/flows/test/ReusedPortTest.cpp
@@ -3,6 +3,7 @@
 #include "FlowFixture.h"
 
 #include <gtest/gtest.h>
+#include <tuple>
 
 namespace burdockstream::flows::test {
 namespace {
@@ -20,7 +21,7 @@
   Discarded, // as before, and the target has dropped it
 };
 
-class ReusedPortTest : public ::testing::TestWithParam<FormerEnd> {
+class ReusedPortFixture : public ::testing::Test {
 protected:
   void SetUp() override {
     for (size_t I = 0; I < 3; ++I) {
@@ -40,13 +41,14 @@
     }
   }
 
-  // Opens a flow through the first balancer at Target, with one request.
-  void openAt(size_t Target) {
+  // Opens a flow at Target through Balancer, with one request.
+  void openAt(size_t Target, size_t Balancer = 0) {
     Sim.Agents[1 - Target].Target.Full = true;
     Sim.OpeningSequence += 5'000'000;
-    Sim.openAndRequest(0, Flow);
-    ASSERT_FALSE(Sim.Agents[Target].Target.Opened.empty());
-    ASSERT_EQ(Sim.Agents[Target].Target.Opened.back(), Flow);
+    const std::vector<FlowKey> &Opened = Sim.Agents[Target].Target.Opened;
+    const size_t Before = Opened.size();
+    Sim.openAndRequest(Balancer, Flow);
+    ASSERT_EQ(Opened.size(), Before + 1);
     Sim.Agents[1 - Target].Target.Full = false;
   }
 
@@ -78,25 +80,35 @@
     Target.Held.clear();
   }
 
-  // The new flow is served by the second target and not reset.
-  void expectServed() {
-    const size_t Before = Sim.Agents[1].Target.Requests;
-    const size_t FormerRequests = Sim.Agents[0].Target.Requests;
+  // The new flow is served by Target and not reset.
+  void expectServed(size_t Target = 1) {
+    const size_t Before = Sim.Agents[Target].Target.Requests;
+    const size_t FormerRequests = Sim.Agents[1 - Target].Target.Requests;
     EXPECT_TRUE(Sim.Resets.empty());
-    EXPECT_EQ(Sim.Agents[1].Target.Requests, Before);
     for (int I = 0; I < 3; ++I) {
       Sim.send(1, Flow);
       run(milliseconds(1000));
     }
     EXPECT_TRUE(Sim.Resets.empty());
-    EXPECT_EQ(Sim.Agents[1].Target.Requests, Before + 3);
-    EXPECT_EQ(Sim.Agents[0].Target.Requests, FormerRequests);
+    EXPECT_EQ(Sim.Agents[Target].Target.Requests, Before + 3);
+    EXPECT_EQ(Sim.Agents[1 - Target].Target.Requests, FormerRequests);
+  }
+
+  // Returns a packet of the client's open flow.
+  Packet clientPacket() {
+    Packet Result;
+    Result.Flow = Flow;
+    Result.Acknowledged = Sim.acknowledged(Flow);
+    return Result;
   }
 
   const FlowKey Flow = Simulation::flow(30'001);
   Simulation Sim;
 };
 
+class ReusedPortTest : public ReusedPortFixture,
+                       public ::testing::WithParamInterface<FormerEnd> {};
+
 // Guards against the agent of the former flow, which answers a search of
 // another balancer, gets the packet back from its target and resets the new
 // flow (review/8).
@@ -131,6 +143,77 @@
   expectServed();
 }
 
+// How the former flow ends, and by how much the first number of the new flow's
+// target differs from the former one's.
+class RestartedAgentTest
+    : public ReusedPortFixture,
+      public ::testing::WithParamInterface<std::tuple<FormerEnd, uint32_t>> {
+protected:
+  // Opens the former flow, whose agent restarts in the middle.
+  void openFormer() {
+    Sim.NextStart = FormerStart;
+    openAt(0);
+    Sim.restartAgent(0);
+    run(seconds(1));
+    Sim.send(0, Flow);
+  }
+
+  static constexpr uint32_t FormerStart = 0xFFFFFFF0; // the numbers wrap
+};
+
+// Guards against the record of an agent that has restarted during the former
+// flow: it was completed by a guess of 6.6% of all numbers, and an agent that
+// took a new flow for the former one answered for it and reset it (review/12).
+TEST_P(RestartedAgentTest, AGuessedRecordDoesNotAnswerForTheNewFlow) {
+  const auto [End, Distance] = GetParam();
+  openFormer();
+  endFormer(End);
+  run(seconds(13));
+  Sim.NextStart = FormerStart + Distance;
+  openAt(1);
+  expectServed();
+}
+
+// Guards against a record that is taken over by a second flow from the same
+// port, since an agent that has restarted does not know which opening packet
+// its record began with, and that answers for the third flow.
+TEST_P(RestartedAgentTest, ARecordOfTwoFlowsDoesNotAnswerForTheThird) {
+  const auto [End, Distance] = GetParam();
+  openFormer();
+  endFormer(End);
+  run(seconds(3));
+  Sim.NextStart = FormerStart + 2 * Distance;
+  openAt(0);
+  expectServed(0);
+  endFormer(End);
+  run(seconds(3));
+  Sim.NextStart = FormerStart + Distance;
+  openAt(1);
+  expectServed();
+}
+
+// Guards against an agent with all records that drops that of the new flow, and
+// then denies it, because the target has returned a packet of the former flow
+// just before it accepted the new one.
+TEST_F(ReusedPortFixture, AReturnedPacketOfTheFormerFlowEndsNoOther) {
+  openAt(0);
+  Sim.Agents[0].Target.Held.clear();
+  const Packet Late = Sim.Registry.write(clientPacket());
+  Sim.Agents[0].Core->onFrame(Sim.Balancers[0].Address, FrameHeader(), Late,
+                              Sim.Now);
+  Sim.Resets.clear(); // of the former flow, which the target has lost
+  openAt(0);
+  Packet Returned = Sim.Registry.read(Late.Bytes);
+  Returned.Returned = true;
+  Sim.Agents[0].Core->onTargetPacket(Returned, Sim.Now);
+  run(milliseconds(1000));
+  // The packet may be answered by a reset with the number of its own flow.
+  for (const uint32_t Sequence : Sim.ResetSequences)
+    EXPECT_EQ(Sequence, Late.Acknowledged);
+  Sim.Resets.clear();
+  expectServed(0);
+}
+
 // Guards against the end of the former target, which resets the flows that its
 // agent has records of.
 TEST_P(ReusedPortTest, TheEndOfTheFormerTargetResetsNoClosedFlow) {
@@ -214,6 +297,15 @@
 
 INSTANTIATE_TEST_SUITE_P(Ends, ReusedPortOffersTest,
                          ::testing::Values(FormerEnd::Closed));
+// Distances within and beyond what an agent that has restarted allows for.
+INSTANTIATE_TEST_SUITE_P(
+    Ends, RestartedAgentTest,
+    ::testing::Combine(
+        ::testing::Values(FormerEnd::Closed, FormerEnd::ClosedLate,
+                          FormerEnd::ResetByClient, FormerEnd::ResetLate,
+                          FormerEnd::Abandoned, FormerEnd::Discarded),
+        ::testing::Values(1'000'000U, 0U - 1'000'000U, 0U - 200'000'000U,
+                          0x40000000U)));
 INSTANTIATE_TEST_SUITE_P(
     Ends, ReusedPortTest,
     ::testing::Values(FormerEnd::Closed, FormerEnd::ClosedLate,
