Keep the record of a flow when a reset of a former one arrives late

What callers would see: a client resets a flow and uses its port again at the same target. The former reset, or the target's reset in answer to a late packet, arrives when the new flow is open. After that a balancer that does not know the new flow resets it.

Cause: a reset dropped the record of its key, whatever flow the record was of. An agent that has observed its target's whole run denies each flow without a record.

Evidence: ReusedPortFixture.ALateResetOfTheFormerFlowEndsNoOther and ALateResetByTheTargetEndsNoOther; both fail before the change.

Change: a reset drops the record only if its number is one of the flow's or may be. A client's reset that its target returns starts no search: its client has ended the flow, and an answer would be a reset to a port that may be in use again.

Messages are unchanged.

--- a/packages/flows/include/burdockstream/flows/FlowAgent.h
+++ b/packages/flows/include/burdockstream/flows/FlowAgent.h
@@ -287,7 +287,7 @@
     return KnowsAllFlows && Retention.coversAllFlows(LastTick);
   }
   void ageRecords(base::TimePoint Now);
-  static bool mayDescribe(const FlowRecord &Record, const Packet &Packet);
+  static bool mayDescribe(const FlowRecord &Record, SequenceMatch Match);
   static bool isCopyOf(const Packet &Opening, const FlowRecord &Record);
   void onTrial(base::SocketAddress From, const Packet &Packet,
                base::TimePoint Now);
@@ -314,6 +314,7 @@
     return Now >= WarmupEnd || Warmup.admits(Now);
   }
   void recordAbort(const FlowRecord &Record, base::TimePoint Now);
+  void recordReset(FlowRecord &Record, const Packet &Packet);
   void onReturned(const Packet &Packet, base::TimePoint Now);
   void answer(base::SocketAddress To, FrameKind Kind, ReturnReason Reason,
               std::span<const uint8_t> Body);
--- a/packages/flows/src/FlowAgent.cpp
+++ b/packages/flows/src/FlowAgent.cpp
@@ -74,23 +74,27 @@
   if (Record && !Packet.Aborts && lookUpFlow(Packet) == FrameKind::NotHeld)
     return answer(From, FrameKind::Returned, ReturnReason::NotHeld,
                   Packet.Bytes);
-  const bool OfRecord = Record && mayDescribe(*Record, Packet);
+  const SequenceMatch Match =
+      Record ? Record->Sent.match(Packet.Acknowledged) : SequenceMatch::Unknown;
+  const bool OfRecord = Record && mayDescribe(*Record, Match);
   if (OfRecord) {
     recordRequest(*Record, Packet, Now);
     Record->ClosedByClient = Record->ClosedByClient || Packet.Finishes;
+  } else if (Record && Packet.Aborts && Match == SequenceMatch::Unknown) {
+    stopCounting(*Record); // the flow may have ended
   }
   deliver(From, Packet, false);
-  if (!Packet.Aborts)
+  if (!Packet.Aborts || (Record && !OfRecord))
     return;
   forget(Packet.Flow);
   ResetByClient.insert(Packet.Flow) = true;
 }
 
-// Returns whether to record a client's Packet in Record: its sequence numbers
+// Returns whether to record a client's packet in Record: its sequence numbers
 // show that it belongs to the flow, or never distinguish that from others.
-bool FlowAgent::mayDescribe(const FlowRecord &Record, const Packet &Packet) {
-  return Record.Sent.isEmpty() || Record.Sent.isAmbiguous() ||
-         Record.Sent.match(Packet.Acknowledged) == SequenceMatch::Same;
+bool FlowAgent::mayDescribe(const FlowRecord &Record, SequenceMatch Match) {
+  return Match == SequenceMatch::Same || Record.Sent.isEmpty() ||
+         Record.Sent.isAmbiguous();
 }
 
 void FlowAgent::deliver(base::SocketAddress From, const Packet &Packet,
@@ -203,10 +207,19 @@
   }
   Hooks.SendToClient(Packet.Flow, Packet.Bytes);
   if (Packet.Aborts)
-    forget(Packet.Flow);
+    recordReset(Record, Packet);
   admitHeld(Now);
 }
 
+// Drops the record of a flow that the target resets. The reset may answer a
+// late packet of a former flow with the same key.
+void FlowAgent::recordReset(FlowRecord &Record, const Packet &Packet) {
+  if (Record.Sent.match(Packet.Sequence) == SequenceMatch::Other)
+    stopCounting(Record);
+  else
+    forget(Packet.Flow);
+}
+
 // A reset of a flow that the target has closed is not a failure: the client had
 // sent more before it received the end.
 void FlowAgent::recordAbort(const FlowRecord &Record, base::TimePoint Now) {
--- a/packages/flows/src/FlowSearch.cpp
+++ b/packages/flows/src/FlowSearch.cpp
@@ -264,6 +264,8 @@
       return forward(Packet, Entry->Target);
     if (Entry)
       Flows.erase(Packet.Flow);
+    if (Packet.Aborts)
+      return; // the client has ended the flow and needs no answer
     // Agents of former builds return unknown flows of another service without
     // knowing whether their target holds them.
     return search(Packet,
--- a/packages/flows/test/ReusedPortTest.cpp
+++ b/packages/flows/test/ReusedPortTest.cpp
@@ -193,8 +193,33 @@
 }
 
 // Guards against an agent with all records that drops that of the new flow, and
-// then denies it, because the target has returned a packet of the former flow
-// just before it accepted the new one.
+// then denies it, because of a late reset of the former flow.
+TEST_F(ReusedPortFixture, ALateResetOfTheFormerFlowEndsNoOther) {
+  openAt(0);
+  Packet Late = clientPacket();
+  Late.Aborts = true;
+  Sim.Agents[0].Target.Held.clear();
+  openAt(0);
+  Sim.Balancers[0].Core->onClientPacket(Sim.Registry.write(Late), Sim.Now);
+  run(milliseconds(1000));
+  expectServed(0);
+}
+
+// As before, because the target resets the former flow late.
+TEST_F(ReusedPortFixture, ALateResetByTheTargetEndsNoOther) {
+  openAt(0);
+  Packet Late = clientPacket();
+  Late.Aborts = true;
+  Late.Sequence = Late.Acknowledged;
+  Sim.Agents[0].Target.Held.clear();
+  openAt(0);
+  Sim.Agents[0].Core->onTargetPacket(Sim.Registry.write(Late, Sender::Target),
+                                     Sim.Now);
+  expectServed(0);
+}
+
+// As before, because the target has returned a packet of the former flow just
+// before it accepted the new one.
 TEST_F(ReusedPortFixture, AReturnedPacketOfTheFormerFlowEndsNoOther) {
   openAt(0);
   Sim.Agents[0].Target.Held.clear();
