Let an opening packet renew a balancer's entry that a search has made

What callers would see: a balancer finds a flow by a search; its client uses the port again, and then once more. The third flow is refused though a target is free.

Cause: an opening packet with another sequence number than the entry's starts anew. An entry made by a search has no number, and the second flow did not set it either, so that the third one was taken for a copy of the second and the targets that had returned that one counted as asked. Where offers are repeated, the age of the first copy tells the two apart; without opening_attempt_ms, or on a route without times, nothing does.

Evidence: ReusedPortFixture.OffersBehindASearchedFlowDoNotCount fails before the change (the third flow is reset).

Change: an entry without the number of an opening packet is renewed by one.

--- a/packages/flows/src/FlowBalancer.cpp
+++ b/packages/flows/src/FlowBalancer.cpp
@@ -100,7 +100,7 @@
   const base::TimePoint FirstCopySentAt = ArrivedAt - Packet.SinceFirstCopy;
   const bool Reused =
       Known && !Replaying &&
-      (Known->isOfFormerFlow(Packet.Sequence) ||
+      (!Known->OpeningSequence || Known->isOfFormerFlow(Packet.Sequence) ||
        (repeatsOffers(Self.OpeningAttempt, Route->Time) &&
         FirstCopySentAt - Known->FirstCopySentAt >= Self.OpeningAttempt));
   if (!Known || Reused) {
--- a/packages/flows/test/ReusedPortTest.cpp
+++ b/packages/flows/test/ReusedPortTest.cpp
@@ -308,6 +308,19 @@
   EXPECT_TRUE(Sim.Resets.empty());
 }
 
+// Guards against a refusal of the third flow by a balancer that has found the
+// first one by a search, and does not know its opening packet.
+TEST_F(ReusedPortFixture, OffersBehindASearchedFlowDoNotCount) {
+  openAt(0);
+  Sim.send(1, Flow);
+  for (const size_t Target : {1U, 0U, 1U, 0U}) {
+    endFormer(FormerEnd::Discarded);
+    run(seconds(3));
+    openAt(Target, 1);
+    EXPECT_TRUE(Sim.Resets.empty());
+  }
+}
+
 class ReusedPortOffersTest : public ReusedPortTest {};
 
 // Guards against a refusal of the new flow because the targets that the former
