--- a/packages/flowd/src/FlowSettings.cpp
+++ b/packages/flowd/src/FlowSettings.cpp
@@ -2,6 +2,8 @@
 
 #include "burdockstream/base/JsonFields.h"
 
+#include <cmath>
+
 namespace burdockstream::flowd {
 
 namespace {
@@ -20,17 +22,23 @@
 constexpr base::IntegerRange DelayRange{1, 3'600};      // seconds
 constexpr base::IntegerRange LinkRange{1, 1'000'000};   // Mbit/s
 
+// Reads a time as a multiple of Unit, which need not be whole. Rounds to
+// microseconds.
+void readTime(const JsonNode &Node, base::Duration Unit,
+              const base::IntegerRange &Range, base::Duration &Out) {
+  double Value = 0;
+  if (Node.readReal(Range, Value))
+    Out =
+        base::Duration(std::llround(Value * static_cast<double>(Unit.count())));
+}
+
 void readMilliseconds(const JsonNode &Node, base::Duration &Out,
                       const base::IntegerRange &Range = IntervalRange) {
-  int64_t Value = 0;
-  if (Node.readInteger(Range, Value))
-    Out = std::chrono::milliseconds(Value);
+  readTime(Node, std::chrono::milliseconds(1), Range, Out);
 }
 
 void readSeconds(const JsonNode &Node, base::Duration &Out) {
-  int64_t Value = 0;
-  if (Node.readInteger(DelayRange, Value))
-    Out = std::chrono::seconds(Value);
+  readTime(Node, std::chrono::seconds(1), DelayRange, Out);
 }
 
 void readAgent(const JsonNode &Node, FlowSettings &Out) {
--- a/packages/flowd/test/FlowSettingsTest.cpp
+++ b/packages/flowd/test/FlowSettingsTest.cpp
@@ -4,6 +4,7 @@
 #include "burdockstream/flowd/AgentEntries.h"
 
 #include <gtest/gtest.h>
+#include <map>
 #include <string>
 
 namespace burdockstream::flowd {
@@ -59,6 +60,52 @@
   EXPECT_EQ(Problem(replaced(Balancer, "1000", "12.5")), "accepted");
 }
 
+// Guards against a process that does not start because a time is a fraction
+// (review/15), or that takes one out of range.
+TEST(FlowSettingsTest, TimesMayBeFractions) {
+  const auto Parse = [](const std::string &Field, const std::string &Value) {
+    std::string Text = example("agent.json");
+    const size_t At = Text.find(Field + "\": ") + Field.size() + 3;
+    Text.replace(At, Text.find_first_of(", ", At) - At, Value);
+    return parseFlowSettings(Text, "agent.json");
+  };
+  struct Case {
+    std::string Field;
+    base::Duration (*Read)(const FlowSettings &);
+    base::Duration Unit;
+    std::string Range;
+  };
+  for (const Case &Each :
+       {Case{"grace_period_s",
+             [](const FlowSettings &S) { return S.GracePeriod; },
+             std::chrono::seconds(1), "from 1 to 3600"},
+        Case{"address_reuse_delay_s",
+             [](const FlowSettings &S) { return S.Agent->AddressReuseDelay; },
+             std::chrono::seconds(1), "from 1 to 3600"},
+        Case{"heartbeat_interval_ms",
+             [](const FlowSettings &S) { return S.Agent->HeartbeatInterval; },
+             std::chrono::milliseconds(1), "from 50 to 60000"}}) {
+    for (const auto &[Text, Value] : std::map<std::string, double>{
+             {"62.5", 62.5}, {"60.0", 60}, {"1e2", 100}, {"99", 99}}) {
+      const auto Parsed = Parse(Each.Field, Text);
+      ASSERT_TRUE(Parsed.has_value()) << Parsed.error().Message;
+      EXPECT_EQ(Each.Read(Parsed.value()).count(),
+                Value * static_cast<double>(Each.Unit.count()))
+          << Each.Field << " " << Text;
+    }
+    for (const char *Text :
+         {"0.5", "60000.5", "-2", "true", "\"2.5\"", "null"}) {
+      const auto Parsed = Parse(Each.Field, Text);
+      ASSERT_TRUE(Parsed.has_error()) << Each.Field << " " << Text;
+      EXPECT_NE(Parsed.error().Message.find(Each.Field + ": "),
+                std::string::npos);
+      EXPECT_NE(Parsed.error().Message.find("write a number " + Each.Range),
+                std::string::npos)
+          << Parsed.error().Message;
+    }
+  }
+}
+
 // Guards against a balancer that rejects the value that switches repeated
 // offers off, or that switches them on without the setting.
 TEST(FlowSettingsTest, RepeatedOffersAreOffUnlessStated) {
