Put changed times of the settings in force without a restart

What callers would see: an operator shortens reuse_delay_s while agents run. They go on taking a silent target for alive by the former time, and an opening packet may be delivered at an address that another service has by then (ROUTE).

Cause: a reload replaced the settings of the agent but not the times in its decision core, which were computed once at the start. A balancer kept the grace period of its start likewise.

Change: applySettings() hands the heartbeat interval and the time after which the target counts as silent to the core; a balancer takes the grace period. The report of an agent has heartbeat_overdue_ms, so that this can be seen.

Result: ReportsTest.ReloadedTimesAreInForce fails before the change (1800 in place of 1050) and passes with it. With unchanged settings nothing differs.

--- a/packages/flowd/src/AgentDaemon.cpp
+++ b/packages/flowd/src/AgentDaemon.cpp
@@ -30,6 +30,16 @@
 // not yet received the last write.
 constexpr base::Duration MinEntryRewriteInterval = std::chrono::seconds(2);
 
+// The target counts as silent this long before its address may be reused.
+constexpr base::Duration AddressReuseMargin = std::chrono::milliseconds(200);
+
+// Returns the age of the last heartbeat from which on the target counts as
+// silent. A heartbeat may be late by half an interval.
+base::Duration heartbeatOverdue(const AgentSettings &Agent) {
+  return std::min<base::Duration>(Agent.HeartbeatInterval * 3 / 2,
+                                  Agent.AddressReuseDelay - AddressReuseMargin);
+}
+
 } // namespace
 
 AgentDaemon::AgentDaemon(FlowSettings InitSettings,
@@ -75,11 +85,7 @@
   Options.Target = {Agent.Service, Agent.TargetAddress};
   Options.FailureDomain = Settings.FailureDomain;
   Options.Incarnation = base::newRandomSource()();
-  // A heartbeat may be late by half an interval. However, the target must count
-  // as failed before its address can be reused by another service.
-  Options.HeartbeatOverdue = std::min<base::Duration>(
-      Agent.HeartbeatInterval * 3 / 2,
-      Agent.AddressReuseDelay - std::chrono::milliseconds(200));
+  Options.HeartbeatOverdue = heartbeatOverdue(Agent);
   Options.HeartbeatInterval = Agent.HeartbeatInterval;
   Options.PacketHeaderBytes = Environment.Codec.HeaderBytes;
   return Options;
@@ -320,6 +326,8 @@
       New.Agent->Service != Settings.Agent->Service ||
       New.Agent->TargetAddress != Settings.Agent->TargetAddress;
   Settings.Agent = New.Agent;
+  Core.setHeartbeatTimes(Settings.Agent->HeartbeatInterval,
+                         heartbeatOverdue(*Settings.Agent));
   if (!TargetChanged)
     return;
   Core.setTarget({New.Agent->Service, New.Agent->TargetAddress},
--- a/packages/flowd/src/BalancerDaemon.cpp
+++ b/packages/flowd/src/BalancerDaemon.cpp
@@ -352,8 +352,9 @@
 }
 
 void BalancerDaemon::applySettings(const FlowSettings &New) {
-  // The only setting of a balancer that can change at run time.
+  // The settings of a balancer that can change at run time.
   Settings.PeerAddresses = New.PeerAddresses;
+  Settings.GracePeriod = New.GracePeriod;
 }
 
 void BalancerDaemon::beginShutdown() {
--- a/packages/flowd/src/FlowReports.cpp
+++ b/packages/flowd/src/FlowReports.cpp
@@ -192,6 +192,8 @@
   Report["state"] = std::string(toString(Core.state()));
   Report["heartbeat_age_ms"] =
       Json::Int64(base::toMilliseconds(Core.heartbeatAge(Now)));
+  Report["heartbeat_overdue_ms"] =
+      Json::Int64(base::toMilliseconds(Core.heartbeatOverdue()));
   Report["slots"] = Core.slots();
   Report["waiting"] = Core.waiting();
   Report["routes_revision"] = Json::Int64(Core.newestRoutes());
--- a/packages/flowd/test/ReportsTest.cpp
+++ b/packages/flowd/test/ReportsTest.cpp
@@ -181,6 +181,26 @@
   EXPECT_EQ(fetch("/v1/flow?client=100.64.0.7").Status, 400U);
 }
 
+// Guards against an agent that takes its target for alive, by the times of its
+// start, when the address may belong to another service by the new ones.
+TEST_P(ReportsTest, ReloadedTimesAreInForce) {
+  if (GetParam() == "balancer")
+    return; // it has no target
+  const auto Overdue = [&] {
+    const auto Document =
+        base::JsonDocument::parse(fetch("/v1/daemon").Body, "d");
+    return Document.value().root()["heartbeat_overdue_ms"].asInt64();
+  };
+  EXPECT_EQ(Overdue(), 1800);
+  std::string Text = settings(GetParam());
+  const std::string Field = "address_reuse_delay_s\":";
+  Text.replace(Text.find(Field) + Field.size(), 1, "1.25");
+  const auto Reloaded = parseFlowSettings(Text, "test");
+  ASSERT_TRUE(Reloaded.has_value()) << Reloaded.error().Message;
+  Daemon->applySettings(Reloaded.value());
+  EXPECT_EQ(Overdue(), 1050); // 200 ms before the address may be reused
+}
+
 INSTANTIATE_TEST_SUITE_P(Roles, ReportsTest,
                          ::testing::Values("balancer", "agent"));
 
--- a/packages/flows/include/burdockstream/flows/FlowAgent.h
+++ b/packages/flows/include/burdockstream/flows/FlowAgent.h
@@ -169,6 +169,9 @@
   // target is unknown.
   void setTarget(const TargetIdentity &Target, base::TimePoint Now);
 
+  // Changes AgentOptions::HeartbeatInterval and HeartbeatOverdue.
+  void setHeartbeatTimes(base::Duration Interval, base::Duration Overdue);
+
   // Answers a search for the flows of Packets, each truncated to its header.
   void onSearches(base::SocketAddress From, std::span<const Packet> Packets);
 
@@ -207,6 +210,7 @@
 
   TargetState state() const { return State; }
   const TargetIdentity &target() const { return Options.Target; }
+  base::Duration heartbeatOverdue() const { return Options.HeartbeatOverdue; }
   // Number of requests without an answer, of flows whose first request is in
   // transit, and of held opening packets.
   uint32_t waiting() const {
--- a/packages/flows/include/burdockstream/flows/Heartbeat.h
+++ b/packages/flows/include/burdockstream/flows/Heartbeat.h
@@ -74,6 +74,9 @@
   // if so, further heartbeats of it are Late, unless they keep coming.
   bool end(const std::string &TargetId, int64_t StartedAtMs);
 
+  // Changes the time given at construction.
+  void setOverdue(base::Duration NewOverdue) { Overdue = NewOverdue; }
+
   // Whether a heartbeat has been accepted.
   bool known() const { return Known; }
 
--- a/packages/flows/src/FlowAgent.cpp
+++ b/packages/flows/src/FlowAgent.cpp
@@ -45,6 +45,13 @@
   start(Now);
 }
 
+void FlowAgent::setHeartbeatTimes(base::Duration Interval,
+                                  base::Duration Overdue) {
+  Options.HeartbeatInterval = Interval;
+  Options.HeartbeatOverdue = Overdue;
+  Heartbeats.setOverdue(Overdue);
+}
+
 void FlowAgent::onFrame(base::SocketAddress From, const FrameHeader &Header,
                         const Packet &Packet, base::TimePoint Now) {
   if (Packet.Opens)
--- a/packages/flows/test/AgentTest.cpp
+++ b/packages/flows/test/AgentTest.cpp
@@ -187,6 +187,15 @@
   EXPECT_EQ(std::count(Answers.begin(), Answers.end(), FrameKind::Returned), 0);
 }
 
+// Guards against an agent that goes on by the time that it was started with.
+TEST_F(AgentTest, AChangedOverdueTimeIsInForceAtOnce) {
+  Sim.run(milliseconds(1000));
+  EXPECT_EQ(agent().Core->state(), TargetState::Ready);
+  agent().Core->setHeartbeatTimes(milliseconds(600), milliseconds(900));
+  Sim.run(Tick);
+  EXPECT_EQ(agent().Core->state(), TargetState::Silent);
+}
+
 // Guards against a request that is delayed by 1.5 s after a restart of all
 // balancers and agents: the search starts with a packet that the target does
 // not answer, and the request arrives while the search runs.
