--- a/packages/flowd/src/FlowReports.cpp
+++ b/packages/flowd/src/FlowReports.cpp
@@ -140,6 +140,7 @@
   Registry.gauge("flows").set(static_cast<int64_t>(Core.flows()));
   Registry.gauge("searches").set(static_cast<int64_t>(Core.searches()));
   Registry.gauge("packets_parked").set(static_cast<int64_t>(Core.parked()));
+  Registry.gauge("reception_impaired").set(Core.isReceptionImpaired() ? 1 : 0);
   Registry.gauge("searches_dropped")
       .set(static_cast<int64_t>(Core.droppedSearches()));
   exportOffers(Registry, Core.offerCounters());
--- a/packages/flowd/test/ReportsTest.cpp
+++ b/packages/flowd/test/ReportsTest.cpp
@@ -150,6 +150,7 @@
                                      "failure_domains_evacuated",
                                      "searches",
                                      "searches_dropped",
+                                     "reception_impaired",
                                      "packets_parked",
                                      "offers_total",
                                      "openings_unserved_total"}
--- a/packages/flows/include/burdockstream/flows/FlowBalancer.h
+++ b/packages/flows/include/burdockstream/flows/FlowBalancer.h
@@ -186,6 +186,9 @@
   BalancerFlowView view(const FlowKey &Flow) const;
   // Packets dropped because neither a search nor a parking place was available.
   uint64_t droppedSearches() const { return DroppedSearchCount; }
+  // Returns whether this balancer receives hardly any statuses, see
+  // TargetTable::checkReception().
+  bool isReceptionImpaired() const { return ReceptionImpaired; }
   const OfferCounters &offerCounters() const { return Counters; }
 
 private:
@@ -207,6 +210,9 @@
     base::TimePoint Started;
     std::vector<TargetIndex> Queried;     // all, with or without an answer
     std::vector<TargetIndex> Outstanding; // those without a final answer
+    // Asked, but not waited for: they count as lost, or their targets as
+    // stopped.
+    std::vector<TargetIndex> NotAwaited;
     // Subset of Outstanding that gets trial deliveries.
     std::vector<TargetIndex> Undecided;
     SearchStage Stage = SearchStage::Preferred;
@@ -267,6 +273,7 @@
   void retrySearches(base::TimePoint Now);
   void retrySearch(Search &Running, const FlowKey &Flow, base::TimePoint Now);
   void sendSearches();
+  void awaitAgain(Search &Running, base::TimePoint Now);
   void dropDepartedAgents(Search &Running, base::TimePoint Now);
   void retryOutstanding(Search &Running, const FlowKey &Flow,
                         base::TimePoint Now);
@@ -345,6 +352,7 @@
   base::TimePoint RegistrationEnd{}; // see RegistrationPeriod
   std::array<ViewAge, ViewParts> ViewAges;
   base::TimePoint LastTick{};
+  bool ReceptionImpaired = false; // at LastTick
   base::TimePoint NextSubscriptionUpdate{};
   base::TimePoint NextAging{};
 };
--- a/packages/flows/include/burdockstream/flows/SearchLimits.h
+++ b/packages/flows/include/burdockstream/flows/SearchLimits.h
@@ -81,6 +81,12 @@
 inline constexpr double TrialLinkShare = 0.25;
 inline constexpr double LinkBurstSeconds = 0.1;
 
+// While a balancer receives hardly any statuses, a search counts as this many
+// times its bytes. On a full link its answers would not arrive, and clients'
+// packets would not pass; if most agents have really ended, flows of the others
+// are still found.
+inline constexpr double ImpairedSearchCost = 8;
+
 // Returns a token bucket of bytes for Share (0 to 1) of a link. Thread safety:
 // any thread.
 inline TokenBucket linkShareBucket(double Share, double LinkBytesPerSecond) {
--- a/packages/flows/include/burdockstream/flows/TargetTable.h
+++ b/packages/flows/include/burdockstream/flows/TargetTable.h
@@ -61,6 +61,9 @@
   bool Subscribed = false;
   base::TimePoint SubscribedSince{};
   bool StatusSinceSubscribed = false; // the last status is of this subscription
+  // This balancer received hardly any statuses until then, see
+  // TargetTable::checkReception(); nothing if it always has.
+  std::optional<base::TimePoint> ReceptionSince;
   base::TimePoint NextHello{};
   base::TimePoint NextPolicy{};
   UnansweredQuestions Questions;
@@ -80,6 +83,17 @@
 inline constexpr base::Duration AgentLostAfter =
     std::chrono::milliseconds(1500);
 
+// An agent with a subscription counts as silent for checkReception() after this
+// long. Shorter than AgentLostAfter by more than statuses of different agents
+// are apart, so that no agent counts as lost before.
+inline constexpr base::Duration ReceptionCheckAge =
+    std::chrono::milliseconds(1200);
+
+// An overloaded link also loses many statuses before and after it loses most.
+// For this long silence proves nothing; meanwhile the entry of an agent that
+// has ended leaves the store's list, since its lease lasts 10 s.
+inline constexpr base::Duration ReceptionDoubtPeriod = std::chrono::seconds(10);
+
 // Replaces AgentLostAfter and FirstStatusTimeout for an agent that has
 // announced its restart, in a status or in its entry: the platform's grace
 // period for a shutdown plus the start of the new process.
@@ -127,6 +141,15 @@
   // itself was stalled and could not receive statuses.
   void resetSilence(base::TimePoint Now);
 
+  // Checks whether this balancer receives statuses. While more than half of the
+  // agents that it has heard are silent at once, its own link is more likely to
+  // be overloaded or cut than all of them to be gone. Silence says nothing then
+  // and for ReceptionDoubtPeriod; that of an agent that is not heard again
+  // never does, since it may have dropped the subscription when hellos were
+  // lost. The store's list shows which agents have ended. Returns whether that
+  // is so.
+  bool checkReception(base::TimePoint Now);
+
   // Returns the target, or null if Index is NoTarget or the target was dropped.
   Target *at(TargetIndex Index) {
     return Index < Targets.size() ? Targets[Index].get() : nullptr;
@@ -165,13 +188,14 @@
 bool acceptsFlows(const Target &Target, base::TimePoint Now);
 
 // Returns whether the last status says that the target's process has ended, and
-// its agent would have sent a later one to this balancer, unless it is lost. A
+// this balancer would have received a later one, unless the agent is lost. A
 // target whose agent has no subscription may have started since. Thread safety:
 // any thread.
 bool hasCurrentlyStopped(const Target &Target);
 
 // Returns whether the agent of Target counts as lost: it has a subscription and
-// has been silent for longer than its state allows. Thread safety: any thread.
+// has been silent for longer than its state allows, all the while that this
+// balancer received the statuses of others. Thread safety: any thread.
 bool isLost(const Target &Target, base::TimePoint Now);
 
 } // namespace burdockstream::flows
--- a/packages/flows/src/FlowBalancer.cpp
+++ b/packages/flows/src/FlowBalancer.cpp
@@ -297,6 +297,7 @@
   if (Now - LastTick > StallLimit)
     Targets.resetSilence(Now);
   LastTick = Now;
+  ReceptionImpaired = Targets.checkReception(Now);
   Targets.expire(Now);
   requestDueCatchUps(Now);
   expireSearches(Now);
--- a/packages/flows/src/FlowSearch.cpp
+++ b/packages/flows/src/FlowSearch.cpp
@@ -119,8 +119,10 @@
   // Batched searches share frames.
   const double Frames =
       Batching ? Headers / static_cast<double>(HeadersPerFrame) : Headers;
-  const double Bytes = Headers * static_cast<double>(Self.PacketHeaderBytes) +
-                       Frames * static_cast<double>(FrameHeaderBytes);
+  const double Cost = ReceptionImpaired ? ImpairedSearchCost : 1;
+  const double Bytes =
+      Cost * (Headers * static_cast<double>(Self.PacketHeaderBytes) +
+              Frames * static_cast<double>(FrameHeaderBytes));
   if (!SearchByteBucket.canConsume(Bytes, Now) ||
       !SearchFrameBucket.consume(Frames, Now))
     return false;
@@ -138,11 +140,13 @@
     Agent.Questions.ask(Now);
     Running.Queried.push_back(Index);
     Batch.add(Agent.Agent, Agent.Service, Header);
-    if (isLost(Agent, Now))
+    if (isLost(Agent, Now)) {
       Running.LostAgentsAnswerBy =
           std::max(Running.LostAgentsAnswerBy, Agent.Questions.answerBy(Now));
-    else
+      Running.NotAwaited.push_back(Index);
+    } else {
       Running.Outstanding.push_back(Index);
+    }
   }
   if (!Batching)
     sendSearches();
@@ -179,6 +183,7 @@
 // flow. Starts the next stage if this applies to the current stage only.
 bool FlowBalancer::isExhausted(Search &Running, const FlowKey &Flow,
                                base::TimePoint Now) {
+  awaitAgain(Running, Now);
   while (Running.Stage != SearchStage::All && awaitsOnlyStopped(Running))
     if (!queryNextStage(Running, Flow, Now))
       return false;
@@ -326,6 +331,7 @@
   if (Found == Searches.end())
     return;
   std::erase(Found->second.Outstanding, Agent);
+  std::erase(Found->second.NotAwaited, Agent);
   std::erase(Found->second.Undecided, Agent);
   // With many searches, tick() continues them together, so that they share
   // frames.
--- a/packages/flows/src/SearchRetry.cpp
+++ b/packages/flows/src/SearchRetry.cpp
@@ -17,10 +17,28 @@
            (hasCurrentlyStopped(*Silent) &&
             Now >= Silent->Questions.answerBy(Running.AskedAt));
   };
+  for (const TargetIndex Index : Running.Outstanding)
+    if (HasLeft(Index) && Targets.at(Index))
+      Running.NotAwaited.push_back(Index);
   std::erase_if(Running.Outstanding, HasLeft);
   std::erase_if(Running.Undecided, HasLeft);
 }
 
+// Waits again for agents whose silence has turned out to say nothing, because
+// this balancer did not receive statuses.
+void FlowBalancer::awaitAgain(Search &Running, base::TimePoint Now) {
+  auto &Outstanding = Running.Outstanding;
+  std::erase_if(Running.NotAwaited, [&](TargetIndex Index) {
+    const Target *Agent = Targets.at(Index);
+    if (Agent && (isLost(*Agent, Now) || hasCurrentlyStopped(*Agent)))
+      return false;
+    if (Agent && std::find(Outstanding.begin(), Outstanding.end(), Index) ==
+                     Outstanding.end())
+      Outstanding.push_back(Index);
+    return true;
+  });
+}
+
 void FlowBalancer::retryOutstanding(Search &Running, const FlowKey &Flow,
                                     base::TimePoint Now) {
   const size_t Silent = Running.Outstanding.size() - Running.Undecided.size();
--- a/packages/flows/src/TargetTable.cpp
+++ b/packages/flows/src/TargetTable.cpp
@@ -118,6 +118,20 @@
       Known->LastStatusAt = Now;
 }
 
+bool TargetTable::checkReception(base::TimePoint Now) {
+  size_t Heard = 0;
+  size_t Silent = 0;
+  for (const auto &Known : Targets)
+    if (Known && Known->Subscribed && Known->StatusSinceSubscribed)
+      ++(Now - Known->LastStatusAt > ReceptionCheckAge ? Silent : Heard);
+  if (Silent <= Heard)
+    return false;
+  for (const auto &Known : Targets)
+    if (Known)
+      Known->ReceptionSince = Now;
+  return true;
+}
+
 TargetIndex TargetTable::indexOf(base::SocketAddress Agent) const {
   const auto Found = ByAgent.find(Agent);
   return Found == ByAgent.end() ? NoTarget : Found->second;
@@ -162,14 +176,20 @@
 
 bool hasCurrentlyStopped(const Target &Target) {
   return Target.Subscribed && Target.StatusSinceSubscribed &&
+         Target.LastStatusAt >= Target.ReceptionSince &&
          Target.Status.State == TargetState::Stopped;
 }
 
 bool isLost(const Target &Target, base::TimePoint Now) {
   if (!Target.Subscribed)
     return false;
-  const base::Duration Silence =
-      Now - std::max(Target.LastStatusAt, Target.SubscribedSince);
+  const base::TimePoint Since =
+      std::max(Target.LastStatusAt, Target.SubscribedSince);
+  if (Target.ReceptionSince &&
+      (Since < *Target.ReceptionSince ||
+       Now - *Target.ReceptionSince <= ReceptionDoubtPeriod))
+    return false;
+  const base::Duration Silence = Now - Since;
   const bool Leaving =
       Target.HasStatus && Target.Status.State == TargetState::Leaving;
   if (Leaving || Target.EntryRestarting)
--- a/packages/flows/test/FlowFixture.cpp
+++ b/packages/flows/test/FlowFixture.cpp
@@ -263,6 +263,8 @@
     LastService = Delivered.Header.Service;
     if (DropsFrame && DropsFrame(Delivered.To, Delivered.Header.Kind))
       continue;
+    if (DropsFrameFrom && DropsFrameFrom(Delivered.From, Delivered.To))
+      continue;
     for (SimulatedAgent &Place : Agents)
       if (Place.Address == Delivered.To && Place.Running)
         deliverToAgent(Place, Delivered);
--- a/packages/flows/test/FlowFixture.h
+++ b/packages/flows/test/FlowFixture.h
@@ -141,6 +141,9 @@
   std::vector<base::SocketAddress> MissingEntryReports;
   // Returns whether a frame is lost; if empty, no frame is.
   std::function<bool(base::SocketAddress To, FrameKind)> DropsFrame;
+  // The same by sender; if empty, no frame is lost.
+  std::function<bool(base::SocketAddress From, base::SocketAddress To)>
+      DropsFrameFrom;
   // Agents ignore the reason of an opening packet, as former builds do.
   bool FormerAgents = false;
   // Hellos have no idle timeout, as those of former builds.
