--- a/packages/flowd/src/AgentDaemon.cpp
+++ b/packages/flowd/src/AgentDaemon.cpp
@@ -257,8 +257,9 @@
     return 400;
   }
   if (Request.Kind == TargetRequestKind::Deregister) {
-    Fields["current"] = Core.onDeregister(Heartbeat.TargetId,
-                                          Heartbeat.StartedAtMs, Now.Monotonic);
+    const flows::EndVerdict Verdict = Core.onDeregister(
+        Heartbeat.TargetId, Heartbeat.StartedAtMs, Now.Monotonic);
+    Fields["verdict"] = std::string(toString(Verdict));
     Log.write(LogPriority::Process, "deregistered", Fields, Now);
     return 200;
   }
--- a/packages/flows/include/burdockstream/flows/FlowAgent.h
+++ b/packages/flows/include/burdockstream/flows/FlowAgent.h
@@ -195,9 +195,11 @@
   // Handles a heartbeat. Returns whether it was accepted.
   HeartbeatVerdict onHeartbeat(const Heartbeat &Beat, base::TimePoint Now);
   // The run of TargetId that started at StartedAtMs (Unix time in ms, 0 if
-  // unknown) announces its end. Returns false if that is not the current run.
-  bool onDeregister(const std::string &TargetId, int64_t StartedAtMs,
-                    base::TimePoint Now);
+  // unknown) announces its end. Where nothing shows that it is the current one,
+  // no flows are delivered until the next heartbeat, and a health check shows
+  // whether the target's process has ended.
+  EndVerdict onDeregister(const std::string &TargetId, int64_t StartedAtMs,
+                          base::TimePoint Now);
   // Handles the result of a health check that was started at StartedAt.
   void onProbe(ProbeResult Result, base::TimePoint StartedAt,
                base::TimePoint Now);
--- a/packages/flows/include/burdockstream/flows/Heartbeat.h
+++ b/packages/flows/include/burdockstream/flows/Heartbeat.h
@@ -45,6 +45,17 @@
 // Returns the name used in logs. Thread safety: any thread.
 std::string_view toString(HeartbeatVerdict Verdict);
 
+// Whether an announcement that a run has ended is that of the last recorded
+// run.
+enum class EndVerdict : uint8_t {
+  Ended,    // it names the run, or the run has reported that it is draining
+  Unproven, // of a run with this id, possibly a former one
+  OtherRun
+};
+
+// Returns the name used in logs. Thread safety: any thread.
+std::string_view toString(EndVerdict Verdict);
+
 // The target of an agent, as defined in its settings.
 struct TargetIdentity {
   std::string Service;
@@ -69,10 +80,12 @@
   HeartbeatVerdict classify(const Heartbeat &Beat, const TargetIdentity &Own,
                             base::TimePoint Now);
 
-  // Records that the run of TargetId that started at StartedAtMs (Unix time in
-  // ms, 0 if unknown) has ended. Returns whether it is the last recorded run;
-  // if so, further heartbeats of it are Late, unless they keep coming.
-  bool end(const std::string &TargetId, int64_t StartedAtMs);
+  // Handles the announcement that the run of TargetId that started at
+  // StartedAtMs (Unix time in ms, 0 if unknown) has ended. After Ended, further
+  // heartbeats of the run are Late, unless they keep coming. A target may start
+  // again under its id while the announcement of its former run is delayed; a
+  // run drains before it ends.
+  EndVerdict end(const std::string &TargetId, int64_t StartedAtMs);
 
   // Changes the time given at construction.
   void setOverdue(base::Duration NewOverdue) { Overdue = NewOverdue; }
--- a/packages/flows/src/AgentStatus.cpp
+++ b/packages/flows/src/AgentStatus.cpp
@@ -73,13 +73,17 @@
   return Beat.Sequence <= static_cast<uint64_t>(Observed / LongestInterval);
 }
 
-bool FlowAgent::onDeregister(const std::string &TargetId, int64_t StartedAtMs,
-                             base::TimePoint Now) {
-  if (!Heartbeats.end(TargetId, StartedAtMs))
-    return false;
+EndVerdict FlowAgent::onDeregister(const std::string &TargetId,
+                                   int64_t StartedAtMs, base::TimePoint Now) {
+  const EndVerdict Verdict = Heartbeats.end(TargetId, StartedAtMs);
   // No flow is reset yet, because the last answers may still be in transit.
-  apply(TargetEvent::End, "deregistered", Now);
-  return true;
+  if (Verdict == EndVerdict::Ended)
+    apply(TargetEvent::End, "deregistered", Now);
+  if (Verdict == EndVerdict::Unproven) {
+    apply(TargetEvent::Overdue, "deregistration_unproven", Now);
+    start(Now);
+  }
+  return Verdict;
 }
 
 void FlowAgent::onProbe(ProbeResult Result, base::TimePoint StartedAt,
--- a/packages/flows/src/Heartbeat.cpp
+++ b/packages/flows/src/Heartbeat.cpp
@@ -14,6 +14,12 @@
     {HeartbeatVerdict::Foreign, "foreign"},
 }});
 
+constexpr base::NameTable<EndVerdict, 3> EndNames({{
+    {EndVerdict::Ended, "ended"},
+    {EndVerdict::Unproven, "unproven"},
+    {EndVerdict::OtherRun, "other_run"},
+}});
+
 bool isOfSameRun(const Heartbeat &One, const Heartbeat &Other) {
   return One.StartedAtMs == Other.StartedAtMs && One.TargetId == Other.TargetId;
 }
@@ -24,6 +30,8 @@
   return VerdictNames.name(Verdict);
 }
 
+std::string_view toString(EndVerdict Verdict) { return EndNames.name(Verdict); }
+
 HeartbeatVerdict HeartbeatFilter::classify(const Heartbeat &Beat,
                                            const TargetIdentity &Own,
                                            base::TimePoint Now) {
@@ -63,11 +71,15 @@
   return Now - RejectedSince >= Overdue && Now - LastAt >= Overdue;
 }
 
-bool HeartbeatFilter::end(const std::string &TargetId, int64_t StartedAtMs) {
-  const bool Current = Known && TargetId == Last.TargetId &&
-                       (StartedAtMs == 0 || StartedAtMs == Last.StartedAtMs);
-  Ended = Ended || Current;
-  return Current;
+EndVerdict HeartbeatFilter::end(const std::string &TargetId,
+                                int64_t StartedAtMs) {
+  if (!Known || TargetId != Last.TargetId ||
+      (StartedAtMs != 0 && StartedAtMs != Last.StartedAtMs))
+    return EndVerdict::OtherRun;
+  if (StartedAtMs == 0 && !Last.Draining && !Ended)
+    return EndVerdict::Unproven;
+  Ended = true;
+  return EndVerdict::Ended;
 }
 
 } // namespace burdockstream::flows
