Do not end a search by denials of a former flow from the port

A search runs while an agent is silent. The client ends that flow, uses the port again, opens the next flow through another balancer, and a packet of it reaches the searching balancer: it joined the running search. When the silent agent answered, the search ended with a reset that carries the number of the new flow, and an open flow was lost.

Cause: denials are recorded by the flow's addresses and ports, while the reset takes the newest acknowledged number. Agents that had denied the former flow before the new one was opened at their target counted for both.

Change: a search whose acknowledged number has changed, or that receives a denial of another number, searches again by the newest packet instead of resetting the flow. The buffer keeps a packet with the newest number. Messages are unchanged.

Cost: one more search for a flow that nobody holds if the client has acknowledged more while the first one ran.

--- a/packages/flows/include/burdockstream/flows/FlowBalancer.h
+++ b/packages/flows/include/burdockstream/flows/FlowBalancer.h
@@ -219,8 +219,11 @@
     base::TimePoint AskedAt{};            // when the last stage was asked
     base::TimePoint LostAgentsAnswerBy{}; // see UnansweredQuestions
     uint32_t Acknowledged = 0;            // last of the client, for a reset
+    // Whether an agent may have denied another number than Acknowledged, which
+    // may be that of a former flow from the same port.
+    bool DeniedOther = false;
     // Packets of the client, to be forwarded to the holder.
-    // At least one, at most MaxBufferedPackets.
+    // At least one, at most MaxBufferedPackets; one of them has Acknowledged.
     std::vector<OwnedPacket> Buffered;
     base::TimePoint NewestArrivedAt; // of the last buffered packet
     base::TimePoint NextRetry;
@@ -282,6 +285,7 @@
   void replayParked(base::TimePoint Now);
   void replay(ParkReason Reason, base::TimePoint Now);
   void finishSearch(const FlowKey &Flow, Search &Done, base::TimePoint Now);
+  void restartSearch(Search &Former, base::TimePoint Now);
   void addUnsubscribedTargets(base::ServiceId Service, const FlowEntry &Entry,
                               double Penalty);
   void askAgain(TargetIndex Agent, const Packet &Packet, base::TimePoint Now);
@@ -296,7 +300,7 @@
   bool sendTrial(const PendingTrial &Trial, base::TimePoint Now);
   void sendTrials(base::TimePoint Now);
   void onHeld(TargetIndex Agent, const FlowKey &Flow, base::TimePoint Now);
-  void onNotHeld(TargetIndex Agent, const FlowKey &Flow, base::TimePoint Now);
+  void onNotHeld(TargetIndex Agent, const Packet &Packet, base::TimePoint Now);
   void refuse(const Packet &Packet, DecisionKind Kind, size_t Candidates,
               base::TimePoint Now);
   void sendHellos(base::TimePoint Now);
--- a/packages/flows/include/burdockstream/flows/Packet.h
+++ b/packages/flows/include/burdockstream/flows/Packet.h
@@ -45,6 +45,7 @@
   const FlowKey &flow() const { return Value.Flow; }
   bool opens() const { return Value.Opens; }
   uint32_t sequence() const { return Value.Sequence; }
+  uint32_t acknowledged() const { return Value.Acknowledged; }
   uint16_t dataBytes() const { return Value.DataBytes; }
 
   // Returns the packet as a view; its bytes are valid while this object lives.
--- a/packages/flows/src/FlowSearch.cpp
+++ b/packages/flows/src/FlowSearch.cpp
@@ -95,20 +95,31 @@
                  New.Outstanding.size(), Now);
 }
 
-// Buffers Packet until the holder is found, unless it is a retransmission or
-// the buffer is full.
+// Buffers Packet until the holder is found. Unless it acknowledges another
+// number, retransmissions and packets beyond the limit are dropped.
 void FlowBalancer::buffer(Search &Running, const Packet &Packet) {
-  Running.Acknowledged = Packet.Acknowledged;
-  const bool IsCopy =
-      std::any_of(Running.Buffered.begin(), Running.Buffered.end(),
-                  [&](const OwnedPacket &Each) {
-                    return Each.sequence() == Packet.Sequence &&
-                           Each.dataBytes() == Packet.DataBytes;
-                  });
-  if (IsCopy || Running.Buffered.size() >= MaxBufferedPackets)
+  std::vector<OwnedPacket> &Buffered = Running.Buffered;
+  const bool SameNumber = Packet.Acknowledged == Running.Acknowledged;
+  if (!SameNumber) {
+    // All agents asked so far were asked by the former number.
+    Running.DeniedOther = true;
+    Running.Acknowledged = Packet.Acknowledged;
+  }
+  const auto Copy = std::find_if(Buffered.begin(), Buffered.end(),
+                                 [&](const OwnedPacket &Each) {
+                                   return Each.sequence() == Packet.Sequence &&
+                                          Each.dataBytes() == Packet.DataBytes;
+                                 });
+  const bool IsCopy = Copy != Buffered.end();
+  const bool Replaces = IsCopy || Buffered.size() >= MaxBufferedPackets;
+  if (Replaces && SameNumber)
     return;
-  Running.Buffered.emplace_back(Packet);
   Running.NewestArrivedAt = ArrivedAt;
+  if (Replaces) {
+    (IsCopy ? *Copy : Buffered.back()) = OwnedPacket(Packet);
+    return;
+  }
+  Buffered.emplace_back(Packet);
   if (Packet.DataBytes > 0) // the target need not answer the earlier packets
     for (const TargetIndex Index : Running.Undecided)
       addTrial(Running, Packet.Flow, Index, Running.Buffered.size() - 1);
@@ -209,8 +220,19 @@
   Batch.flush(routesRevision(), Hooks.SendFrame);
 }
 
+// Searches by the last number only. No target need hold the flow of the others,
+// which may have been closed before the client used the port again.
+void FlowBalancer::restartSearch(Search &Former, base::TimePoint Now) {
+  ArrivedAt = Former.NewestArrivedAt;
+  for (OwnedPacket &Each : Former.Buffered)
+    if (Each.acknowledged() == Former.Acknowledged)
+      search(Each.packet(), NoTarget, Now);
+}
+
 void FlowBalancer::finishSearch(const FlowKey &Flow, Search &Done,
                                 base::TimePoint Now) {
+  if (Done.DeniedOther)
+    return restartSearch(Done, Now);
   const bool Settled = isSettled(Now);
   if (Settled) {
     Hooks.SendReset(Flow, Done.Acknowledged);
@@ -240,7 +262,7 @@
   case FrameKind::NotHeld:
     if (Misnamed)
       return askAgain(Index, Packet, Now);
-    return onNotHeld(Index, Packet.Flow, Now);
+    return onNotHeld(Index, Packet, Now);
   case FrameKind::Undecided:
     return onUndecided(Index, Packet.Flow, Now);
   default:
@@ -325,11 +347,14 @@
   reportDecision(DecisionKind::Found, Flow, Agent, 0, Now);
 }
 
-void FlowBalancer::onNotHeld(TargetIndex Agent, const FlowKey &Flow,
+void FlowBalancer::onNotHeld(TargetIndex Agent, const Packet &Packet,
                              base::TimePoint Now) {
+  const FlowKey Flow = Packet.Flow;
   const auto Found = Searches.find(Flow);
   if (Found == Searches.end())
     return;
+  if (Packet.Acknowledged != Found->second.Acknowledged)
+    Found->second.DeniedOther = true;
   std::erase(Found->second.Outstanding, Agent);
   std::erase(Found->second.NotAwaited, Agent);
   std::erase(Found->second.Undecided, Agent);
--- a/packages/flows/test/ReusedPortTest.cpp
+++ b/packages/flows/test/ReusedPortTest.cpp
@@ -143,6 +143,24 @@
   expectServed();
 }
 
+// Guards against a search for the former flow that goes on with a packet of the
+// new one: agents that have denied the former flow counted for both.
+TEST_F(ReusedPortFixture, ASearchOfTheFormerFlowEndsNoOther) {
+  openAt(0);
+  Sim.Agents[0].Target.Held.clear();
+  Sim.DropsFrameFrom = [&](base::SocketAddress From, base::SocketAddress To) {
+    return From == Sim.Agents[0].Address && To == Sim.Balancers[1].Address;
+  };
+  Sim.send(1, Flow); // the second agent denies it, the first one is not heard
+  openAt(1);
+  Sim.send(1, Flow);
+  Sim.DropsFrameFrom = nullptr;
+  Sim.run(milliseconds(500));
+  EXPECT_TRUE(Sim.Resets.empty());
+  run(seconds(2));
+  expectServed();
+}
+
 // How the former flow ends, and by how much the first number of the new flow's
 // target differs from the former one's.
 class RestartedAgentTest
