End the search for a former flow when its port opens another

A balancer searches for a flow, whose agent is silent, and the client opens its next flow from the same port at that balancer. The search went on: when all agents had denied the former flow, the balancer sent a reset, which ends an opening whatever its number, and dropped the new flow's entry; when the former holder answered, its target replaced the new one.

Cause: a search is keyed by addresses and ports, and nothing told it that the port had been used again.

ReusedPortFixture.AnOpeningEndsTheSearchOfTheFormerFlow (virtual time) failed before the change and holds now. Marking the search and only leaving out its reset was tried first and failed: the answer of the former holder made its agent reset the former flow in the same moment.

Change: an opening packet that begins an entry erases the search. A late copy of the same flow's opening does so too; the client's next packet starts another search then.

--- a/packages/flows/src/FlowBalancer.cpp
+++ b/packages/flows/src/FlowBalancer.cpp
@@ -104,7 +104,10 @@
        (repeatsOffers(Self.OpeningAttempt, Route->Time) &&
         FirstCopySentAt - Known->FirstCopySentAt >= Self.OpeningAttempt));
   if (!Known || Reused) {
-    // The offers of a former flow at the same port are over.
+    // The offers of a former flow at the same port are over, and so is a search
+    // for it: a reset by its holder, or for the lack of one, would end the
+    // opening.
+    Searches.erase(Packet.Flow);
     Known = &Flows.insert(Packet.Flow);
     *Known = FlowEntry();
     Known->OpeningSequence = Packet.Sequence;
--- a/packages/flows/test/ReusedPortTest.cpp
+++ b/packages/flows/test/ReusedPortTest.cpp
@@ -161,6 +161,22 @@
   expectServed();
 }
 
+// Guards against a search for the former flow that ends while the client opens
+// the new one at the same balancer: it resets the opening and drops its entry.
+TEST_F(ReusedPortFixture, AnOpeningEndsTheSearchOfTheFormerFlow) {
+  openAt(0);
+  Sim.Agents[0].Target.Held.clear();
+  Sim.DropsFrameFrom = [&](base::SocketAddress From, base::SocketAddress To) {
+    return From == Sim.Agents[0].Address && To == Sim.Balancers[1].Address;
+  };
+  Sim.send(1, Flow);
+  openAt(1, 1);
+  Sim.DropsFrameFrom = nullptr;
+  run(seconds(2));
+  EXPECT_TRUE(Sim.Resets.empty());
+  expectServed();
+}
+
 // How the former flow ends, and by how much the first number of the new flow's
 // target differs from the former one's.
 class RestartedAgentTest
