State the sender and number of a reset in the soak's report

The report of the violation now names the sender, the reset's sequence number and the one that the client expects.

--- a/testing/flow_soak/src/SoakParts.cpp
+++ b/testing/flow_soak/src/SoakParts.cpp
@@ -188,8 +188,10 @@
       Socket(openSocket(place(3, 0, DataPort))) {
   for (size_t I = 0; I < Count; ++I)
     add(I, false);
-  Socket->attach(nullptr, [this](std::span<uint8_t> Bytes,
-                                 base::SocketAddress) { onPacket(Bytes); });
+  Socket->attach(nullptr,
+                 [this](std::span<uint8_t> Bytes, base::SocketAddress Sender) {
+                   onPacket(Bytes, Sender);
+                 });
 }
 
 void SoakClients::add(size_t Index, bool Short) {
@@ -285,7 +287,8 @@
   send(Flow, AckFlag | FinFlag, Flow.Acknowledged, 0);
 }
 
-void SoakClients::onPacket(std::span<uint8_t> Bytes) {
+void SoakClients::onPacket(std::span<uint8_t> Bytes,
+                           base::SocketAddress Sender) {
   const auto Packet = Codec.Decode(Bytes, flows::Sender::Target);
   if (!Packet) {
     Found.push_back("a client got bytes that are no packet");
@@ -296,7 +299,7 @@
     return; // of an earlier flow of the same client
   SoakFlow &Flow = Flows[Known->second];
   if (Packet->Aborts)
-    return onReset(Flow);
+    return onReset(Flow, *Packet, Sender);
   if (!isIntact(Bytes)) {
     Found.push_back("a client got a packet that its target did not write so");
     return;
@@ -313,11 +316,14 @@
   }
 }
 
-void SoakClients::onReset(SoakFlow &Flow) {
+void SoakClients::onReset(SoakFlow &Flow, const flows::Packet &Reset,
+                          base::SocketAddress Sender) {
   if (Flow.State != SoakFlowState::Opening && IsHeld(Flow.Key))
     Found.push_back(std::to_string(g_get_real_time() / 1000) +
                     ": an open flow was reset although its target holds it: " +
-                    flows::toString(Flow.Key));
+                    flows::toString(Flow.Key) + ", by " + toString(Sender) +
+                    " with number " + std::to_string(Reset.Sequence) +
+                    ", not " + std::to_string(Flow.Acknowledged));
   retry(Flow);
 }
 
--- a/testing/flow_soak/src/SoakParts.h
+++ b/testing/flow_soak/src/SoakParts.h
@@ -155,11 +155,12 @@
   void tickOpening(SoakFlow &Flow);
   void tickOpen(SoakFlow &Flow);
   void sendEnd(SoakFlow &Flow);
-  void onReset(SoakFlow &Flow);
+  void onReset(SoakFlow &Flow, const flows::Packet &Reset,
+               base::SocketAddress Sender);
   void onAnswer(SoakFlow &Flow, const flows::Packet &Packet, uint32_t Request);
   void send(const SoakFlow &Flow, uint8_t Flags, uint32_t Acknowledged,
             uint32_t Request);
-  void onPacket(std::span<uint8_t> Bytes);
+  void onPacket(std::span<uint8_t> Bytes, base::SocketAddress Sender);
 
   std::vector<base::SocketAddress> Services;
   std::function<base::SocketAddress(const flows::FlowKey &)> Route;
