--- a/packages/flows/include/burdockstream/flows/TargetTable.h
+++ b/packages/flows/include/burdockstream/flows/TargetTable.h
@@ -141,13 +141,12 @@
   // itself was stalled and could not receive statuses.
   void resetSilence(base::TimePoint Now);
 
-  // Checks whether this balancer receives statuses. While more than half of the
-  // agents that it has heard are silent at once, its own link is more likely to
-  // be overloaded or cut than all of them to be gone. Silence says nothing then
-  // and for ReceptionDoubtPeriod; that of an agent that is not heard again
-  // never does, since it may have dropped the subscription when hellos were
-  // lost. The store's list shows which agents have ended. Returns whether that
-  // is so.
+  // Returns whether this balancer receives hardly any statuses: more than half
+  // of the agents that have sent it one are silent. Its own link is then more
+  // likely to be overloaded or cut than all of them to be gone. Silence says
+  // nothing while it lasts and for ReceptionDoubtPeriod; that of an agent that
+  // sends no status afterwards never does, since it may have dropped the
+  // subscription when hellos were lost. The store's list shows which ended.
   bool checkReception(base::TimePoint Now);
 
   // Returns the target, or null if Index is NoTarget or the target was dropped.
--- a/packages/flows/src/FlowSearch.cpp
+++ b/packages/flows/src/FlowSearch.cpp
@@ -95,8 +95,8 @@
                  New.Outstanding.size(), Now);
 }
 
-// Buffers Packet until the holder is found. Unless it acknowledges another
-// number, retransmissions and packets beyond the limit are dropped.
+// Buffers Packet until the holder is found. Retransmissions and packets beyond
+// the limit are dropped, or replace one if they acknowledge another number.
 void FlowBalancer::buffer(Search &Running, const Packet &Packet) {
   std::vector<OwnedPacket> &Buffered = Running.Buffered;
   const bool SameNumber = Packet.Acknowledged == Running.Acknowledged;
@@ -220,8 +220,9 @@
   Batch.flush(routesRevision(), Hooks.SendFrame);
 }
 
-// Searches by the last number only. No target need hold the flow of the others,
-// which may have been closed before the client used the port again.
+// Searches anew by the packets with the last acknowledged number. The others
+// may be of a former flow from the same port, which no target need hold any
+// more.
 void FlowBalancer::restartSearch(Search &Former, base::TimePoint Now) {
   ArrivedAt = Former.NewestArrivedAt;
   for (OwnedPacket &Each : Former.Buffered)
--- a/packages/flows/test/ReceptionTest.cpp
+++ b/packages/flows/test/ReceptionTest.cpp
@@ -59,8 +59,8 @@
   Simulation Sim;
 };
 
-// Guards against a balancer on a full link that hears no agent, takes all of
-// them for gone and resets open flows (review/11).
+// Guards against a balancer on a full link that receives no status, takes all
+// agents for gone and resets open flows (review/11).
 TEST_F(ReceptionTest, SilenceOfAllAgentsIsNoDenial) {
   loseFramesOf({0, 1, 2, 3, 4, 5, 6, 7});
   run(seconds(2));
@@ -75,8 +75,8 @@
   EXPECT_GT(Sim.Agents[Holder].Target.Requests, 1U);
 }
 
-// Guards against a balancer that hears most agents again, while others have not
-// been heard since: their subscriptions have ended, or their statuses are lost.
+// Guards against a balancer that gets statuses of most agents again, but of
+// some not yet: their subscriptions have ended, or their statuses are lost.
 TEST_F(ReceptionTest, AnAgentMustBeHeardAgainBeforeItsSilenceCounts) {
   loseFramesOf({0, 1, 2, 3, 4, 5, 6, 7});
   run(seconds(3));
@@ -106,7 +106,7 @@
 }
 
 // Guards against a search that began when the holder already counted as lost,
-// just before the balancer notices that it hears nobody.
+// just before the balancer notices that it receives no status.
 TEST_F(ReceptionTest, ASearchInProgressWaitsAgain) {
   loseFramesOf({Holder});
   run(milliseconds(800));
--- a/packages/flows/test/ReusedPortTest.cpp
+++ b/packages/flows/test/ReusedPortTest.cpp
@@ -49,6 +49,7 @@
     const size_t Before = Opened.size();
     Sim.openAndRequest(Balancer, Flow);
     ASSERT_EQ(Opened.size(), Before + 1);
+    ASSERT_EQ(Opened.back(), Flow);
     Sim.Agents[1 - Target].Target.Full = false;
   }
 
